--- /dev/null
+++ b/crates/core/src/gate.rs
@@ -0,0 +1,207 @@
+//! Decisions of the opaque front: requests that are passed on byte by byte.
+//!
+//! A [`State`] holds what one entry host believes: the operator's document,
+//! the runners, how old its proof of both is, and what it may still spend on
+//! repeats. The shell asks it under a lock, for microseconds at a time.
+
+use std::time::Duration;
+
+use std::sync::Arc;
+
+use crate::error::{Kind, Refusal};
+use crate::time::Moment;
+
+pub mod budget;
+pub mod civil;
+pub mod fleet;
+pub mod place;
+pub mod proof;
+pub mod report;
+pub mod route;
+pub mod supply;
+pub mod tally;
+
+use budget::Budgets;
+use fleet::Fleet;
+use proof::Proof;
+use route::{Route, Table};
+use tally::Tally;
+
+plain! {
+    /// Bounds that the operator promises to callers and that hold for all hosts.
+    #[derive(serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
+    pub struct Bounds {
+        /// Milliseconds after which a withdrawn key must not run anything.
+        pub revocation_ms: u64,
+        /// Repeats allowed for each request of a service.
+        pub repeat_ratio: f64,
+        /// Repeats allowed besides, for all hosts together.
+        pub repeat_slack: f64,
+        /// Seconds over which repeats are counted.
+        pub repeat_window_s: u64,
+        /// Milliseconds for which a duty's lease carries.
+        pub lease_ms: u64,
+        /// Seconds of a usage window.
+        pub usage_window_s: u64,
+        /// Seconds after a window's end by which its report must be there.
+        pub usage_due_s: u64,
+        /// Seconds between the request to stop and the kill.
+        pub grace_s: u64,
+    }
+}
+
+/// Part of the revocation bound for which a proof of freshness carries. The
+/// rest covers the call's way to the runner and a pause of this process
+/// between the check and the write.
+const PROOF_PART: f64 = 0.6;
+/// Age of the proof up to which "unknown key" and "no such path" may be said:
+/// past it a newer document may know them.
+const NEWEST: Duration = Duration::from_millis(1_700);
+
+impl Bounds {
+    /// How old the proof may be when a keyed request is passed on.
+    pub fn proof(&self) -> Duration {
+        Duration::from_millis((self.revocation_ms as f64 * PROOF_PART) as u64)
+    }
+}
+
+plain! {
+    /// What a request's head says, in the product's words.
+    pub struct Ask<'a> {
+        /// Name in the `Host` header.
+        pub host: &'a str,
+        /// Path without query.
+        pub path: &'a str,
+        /// Key, if one came.
+        pub key: Option<&'a str>,
+        /// Draw that decides among weighted services.
+        pub draw: u64,
+    }
+}
+
+plain! {
+    /// A request that may be passed on.
+    pub struct Admission {
+        /// Its route.
+        pub route: Arc<Route>,
+        /// Service that is to run it.
+        pub service: String,
+        /// Whose it is; none on routes that need no key.
+        pub customer: Option<String>,
+        /// Rank, 0 first.
+        pub priority: u8,
+        /// Whether it needs a fresh proof when it is passed on.
+        pub keyed: bool,
+        /// Version of the document that admitted it.
+        pub version: u64,
+    }
+}
+
+/// What one host believes and remembers.
+#[derive(Debug)]
+pub struct State {
+    /// Bounds in force.
+    pub bounds: Bounds,
+    /// The operator's document; none before the first read.
+    pub table: Option<Arc<Table>>,
+    /// When the document was known to be the newest.
+    pub proof: Proof,
+    /// Runners.
+    pub fleet: Fleet,
+    /// Repeats that are left.
+    pub budgets: Budgets,
+    /// Usage of this host.
+    pub tally: Tally,
+    /// Hosts that are alive, this one included.
+    pub hosts: u32,
+}
+
+impl State {
+    /// A host that has just started and knows nothing.
+    pub fn new(bounds: Bounds, zone: &str) -> Self {
+        Self {
+            bounds,
+            table: None,
+            proof: Proof::default(),
+            fleet: Fleet::new(zone),
+            budgets: Budgets::default(),
+            tally: Tally::default(),
+            hosts: 1,
+        }
+    }
+
+    /// Puts a document in force unless a newer one is; true if it was.
+    ///
+    /// Reads can overtake each other. Without this look a slow answer would
+    /// bring an older document back, and routes and keys with it.
+    pub fn configure(&mut self, table: Table) -> bool {
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|have| have.revision >= table.revision)
+        {
+            return false;
+        }
+        self.table = Some(Arc::new(table));
+        true
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        self.table.is_some() && self.fleet.is_listed() && self.is_fresh(now)
+    }
+
+    /// Whether keyed requests may be passed on.
+    ///
+    /// A host that is cut off cannot hear that a key was withdrawn, and would
+    /// serve it for ever. It stops when its last proof is too old, whatever the
+    /// reason.
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        self.proof.covers(now, self.bounds.proof())
+    }
+
+    /// Finds route, service and customer of a request.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets.
+    pub fn admit(&self, now: Moment, ask: &Ask<'_>) -> Result<Admission, Refusal> {
+        let Some(table) = &self.table else {
+            return Err(Refusal::new(Kind::Stale).detail("no configuration is known yet"));
+        };
+        let newest = self.proof.covers(now, NEWEST);
+        let unless_newest = |kind| Refusal::new(if newest { kind } else { Kind::Stale });
+        let Some(route) = table.find(ask.host, ask.path) else {
+            return Err(unless_newest(Kind::NotFound));
+        };
+        let customer = match table.requires_key(route) {
+            false => None,
+            true => {
+                let key = ask.key.ok_or_else(|| Refusal::new(Kind::MissingKey))?;
+                let found = table.customer(key);
+                Some(found.ok_or_else(|| unless_newest(Kind::UnknownKey))?)
+            }
+        };
+        let priority = customer.and_then(|customer| customer.priority);
+        Ok(Admission {
+            service: route.service(ask.draw).to_string(),
+            customer: customer.map(|customer| customer.name.clone()),
+            priority: priority.unwrap_or(route.priority),
+            keyed: customer.is_some(),
+            version: table.version,
+            route: route.clone(),
+        })
+    }
+
+    /// Whether an admitted request may still be passed on; asked right before
+    /// the write to the runner.
+    pub fn may_send(&self, now: Moment, admission: &Admission) -> bool {
+        !admission.keyed || self.is_fresh(now)
+    }
+
+    /// Takes a repeat out of the shared budget, if one is left.
+    pub fn may_repeat(&mut self, now: Moment, service: &str) -> bool {
+        self.budgets.take(now, service, &self.bounds, self.hosts)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/fleet.rs
@@ -0,0 +1,305 @@
+//! Runners as one host believes them to be.
+//!
+//! The list in the store is the base. What this host sees first-hand (refused
+//! connections, another instance at an address) goes before it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::place;
+use crate::time::Moment;
+
+key! {
+    /// A runner in the fleet.
+    Key(u32)
+}
+
+/// A pause of the store's answers past which entries may have lapsed in it.
+/// Runners renew theirs three times before one lapses, so a shorter pause
+/// cannot remove a live runner's entry.
+const AWAY: Duration = Duration::from_millis(2_500);
+/// How long a missing entry means nothing after the store has come back: live
+/// runners are listed again within two seconds, and a read may be a moment old.
+const RETURN: Duration = Duration::from_millis(2_300);
+/// First rest of a runner that could not be reached.
+const REST: Duration = Duration::from_millis(400);
+/// Longest rest; a runner that is back serves again within this time.
+const REST_MOST: Duration = Duration::from_secs(4);
+/// Rest of a runner that said it was full.
+const FULL_REST: Duration = Duration::from_millis(150);
+
+plain! {
+    /// Whether a runner takes new work.
+    #[derive(Copy, Eq)]
+    pub enum Stage {
+        /// It does.
+        Ready,
+        /// It is about to leave.
+        Draining,
+    }
+}
+
+plain! {
+    /// A runner as the store lists it.
+    pub struct Listed {
+        /// Its id; requests name it, as addresses are used again.
+        pub id: String,
+        /// Service that it runs.
+        pub service: String,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Availability zone.
+        pub zone: String,
+        /// Whether it takes new work.
+        pub stage: Stage,
+        /// Requests it runs at once.
+        pub slots: u32,
+        /// Whether it is cheap and can be taken away.
+        pub reclaimable: bool,
+        /// Start in milliseconds since the Unix epoch; 0 if not told.
+        pub born: u64,
+    }
+}
+
+plain! {
+    /// How an attempt at a runner ended, as far as its health is concerned.
+    #[derive(Copy, Eq)]
+    pub enum Sign {
+        /// It answered.
+        Sound,
+        /// It said that it was full.
+        Full,
+        /// It could not be reached, or fell silent.
+        Unreachable,
+        /// It broke off, or its answer was not one.
+        Broken,
+        /// Another instance answered at its address.
+        Replaced,
+    }
+}
+
+plain! {
+    /// One runner.
+    pub struct Runner {
+        /// As listed.
+        pub listed: Listed,
+        /// This host's requests on it.
+        pub running: u32,
+        /// Prompt tokens of this host that it has yet to read.
+        pub unread: u64,
+        /// Requests of other hosts on it, as they last said.
+        pub others: u32,
+        /// Prompt tokens of other hosts that it has yet to read.
+        pub others_unread: u64,
+        /// Kept for long prompts, so that these do not delay short streams.
+        pub long: bool,
+        present: bool,
+        replaced: bool,
+        rest: Moment,
+        failures: u32,
+    }
+}
+
+impl Runner {
+    /// Whether new work may go there.
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.is_listed() && now.reached(self.rest)
+    }
+
+    /// Whether it takes new work, as far as the list says.
+    pub fn is_listed(&self) -> bool {
+        self.present && !self.replaced && self.listed.stage == Stage::Ready
+    }
+
+    /// Requests on it, as far as this host knows.
+    pub fn load(&self) -> u32 {
+        self.running + self.others
+    }
+
+    /// Prompt tokens that it has yet to read, as far as this host knows.
+    pub fn backlog(&self) -> u64 {
+        self.unread + self.others_unread
+    }
+}
+
+/// All runners.
+#[derive(Debug)]
+pub struct Fleet {
+    /// This host's zone.
+    pub zone: String,
+    arena: Vec<Runner>,
+    ids: Vec<(String, Key)>,
+    listed: Option<Moment>,
+    back: Option<Moment>,
+}
+
+impl Fleet {
+    /// An empty fleet, seen from a zone.
+    pub fn new(zone: &str) -> Self {
+        Self {
+            zone: zone.to_string(),
+            arena: Vec::new(),
+            ids: Vec::new(),
+            listed: None,
+            back: None,
+        }
+    }
+
+    /// Whether the list was ever read.
+    pub fn is_listed(&self) -> bool {
+        self.listed.is_some()
+    }
+
+    /// When the list was last read.
+    pub fn listed_at(&self) -> Option<Moment> {
+        self.listed
+    }
+
+    /// Takes the whole list, as read by a question that left at `sent`.
+    /// Returns the runners whose connections are void: another process now
+    /// goes by their id.
+    ///
+    /// A missing entry means that the runner is gone, unless the store was
+    /// away: then the entries of live runners may have lapsed, and dropping
+    /// them would leave nobody to serve. They count as present until the store
+    /// has been back for long enough to list them again.
+    pub fn list(&mut self, sent: Moment, items: Vec<Listed>) -> Vec<Key> {
+        if self.listed.is_none_or(|last| sent.since(last) >= AWAY) {
+            self.back = Some(sent);
+        }
+        self.listed = Some(sent);
+        let returning = self.back.is_some_and(|back| sent.since(back) < RETURN);
+        if !returning {
+            for runner in &mut self.arena {
+                runner.present = false;
+            }
+        }
+        let void = items.into_iter().filter_map(|item| self.take(item)).collect();
+        place::part(&mut self.arena);
+        void
+    }
+
+    fn take(&mut self, item: Listed) -> Option<Key> {
+        let found = self.ids.binary_search_by(|(id, _)| id.as_str().cmp(&item.id));
+        let at = match found {
+            Ok(at) => at,
+            Err(at) => {
+                self.add(at, item);
+                return None;
+            }
+        };
+        let key = self.ids[at].1;
+        let runner = &mut self.arena[key.index()];
+        let same = runner.listed.address == item.address && runner.listed.born == item.born;
+        runner.present = true;
+        runner.listed = item;
+        if same {
+            return None;
+        }
+        runner.replaced = false;
+        runner.rest = Moment::default();
+        runner.failures = 0;
+        Some(key)
+    }
+
+    fn add(&mut self, at: usize, listed: Listed) {
+        let key = Key(self.arena.len() as u32);
+        self.ids.insert(at, (listed.id.clone(), key));
+        self.arena.push(Runner {
+            listed,
+            running: 0,
+            unread: 0,
+            others: 0,
+            others_unread: 0,
+            long: false,
+            present: true,
+            replaced: false,
+            rest: Moment::default(),
+            failures: 0,
+        });
+    }
+
+    /// A runner by key.
+    pub fn get(&self, key: Key) -> Option<&Runner> {
+        self.arena.get(key.index())
+    }
+
+    /// A runner by id.
+    pub fn find(&self, id: &str) -> Option<Key> {
+        let at = self
+            .ids
+            .binary_search_by(|(have, _)| have.as_str().cmp(id))
+            .ok()?;
+        Some(self.ids[at].1)
+    }
+
+    /// All runners that were ever listed.
+    pub fn all(&self) -> impl Iterator<Item = (Key, &Runner)> {
+        let keys = (0..self.arena.len() as u32).map(Key);
+        keys.zip(&self.arena)
+    }
+
+    /// Runners of a service that take new work.
+    pub fn open<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
+        self.all()
+            .filter(move |(_, runner)| runner.listed.service == service && runner.is_open(now))
+    }
+
+    /// A request with `prompt` tokens goes to a runner.
+    pub fn begin(&mut self, key: Key, prompt: u64) {
+        if let Some(runner) = self.arena.get_mut(key.index()) {
+            runner.running += 1;
+            runner.unread += prompt;
+        }
+    }
+
+    /// The runner has read the prompt: the first token came.
+    pub fn read(&mut self, key: Key, prompt: u64) {
+        if let Some(runner) = self.arena.get_mut(key.index()) {
+            runner.unread = runner.unread.saturating_sub(prompt);
+        }
+    }
+
+    /// The request is over; `prompt` tokens were not yet read.
+    pub fn end(&mut self, key: Key, prompt: u64) {
+        if let Some(runner) = self.arena.get_mut(key.index()) {
+            runner.running = runner.running.saturating_sub(1);
+            runner.unread = runner.unread.saturating_sub(prompt);
+        }
+    }
+
+    /// Replaces what other hosts have on a runner.
+    pub fn others(&mut self, key: Key, running: u32, unread: u64) {
+        if let Some(runner) = self.arena.get_mut(key.index()) {
+            runner.others = running;
+            runner.others_unread = unread;
+        }
+    }
+
+    /// Takes first-hand news of a runner.
+    ///
+    /// The list lags by seconds behind a crash. Without the rest each request
+    /// would try the dead runner anew.
+    pub fn sign(&mut self, now: Moment, key: Key, sign: Sign) {
+        let Some(runner) = self.arena.get_mut(key.index()) else {
+            return;
+        };
+        match sign {
+            Sign::Sound => runner.failures = 0,
+            Sign::Full => runner.rest = now + FULL_REST,
+            Sign::Replaced => runner.replaced = true,
+            Sign::Unreachable => {
+                runner.rest = now + (REST * 2u32.saturating_pow(runner.failures)).min(REST_MOST);
+                runner.failures = (runner.failures + 1).min(5);
+            }
+            Sign::Broken => {
+                // One broken answer in fifty is usual on some days; only a
+                // series tells of the runner.
+                runner.failures = (runner.failures + 1).min(5);
+                if runner.failures >= 3 {
+                    runner.rest = now + (REST * 2u32.saturating_pow(runner.failures - 3)).min(REST_MOST);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/report.rs
@@ -0,0 +1,253 @@
+//! Usage reports: one figure for each window, whoever reports it.
+//!
+//! The holder of the duty adds up what the hosts published, writes the sum to
+//! the store under the window's own key if none stands there, and sends what
+//! stands. A successor adopts what was written, so that two reports of one
+//! window cannot differ, and an answer that was lost is answered by an exact
+//! repeat.
+
+use std::time::Duration;
+
+use super::tally::{Record, Window};
+use crate::lease::Grant;
+use crate::store::{Answer, Call, Entry};
+use crate::time::Moment;
+
+/// Store prefix of sealed windows.
+pub const SEALED: &str = "radishstair/sealed/";
+/// Wait after a window's end for the hosts to publish their counts of it.
+const GRACE_MS: u64 = 1_200;
+/// Wait for a host whose counts are not whole, before it is left out.
+const LATE_MS: u64 = 4_500;
+/// Windows behind the present one that a new holder still looks at; older ones
+/// are past the time by which a report is due.
+const BEHIND: u64 = 4;
+/// Windows after which a sealed one is removed from the store.
+const KEPT: u64 = 12;
+/// Wait for one answer before it counts as lost.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Pause after a report that was not accepted.
+const PAUSE: Duration = Duration::from_millis(700);
+
+plain! {
+    /// What the shell is to do.
+    pub enum Step {
+        /// Ask the store.
+        Store(Call),
+        /// Send the window while the grant covers the moment of sending.
+        Report(Grant, Window),
+    }
+}
+
+plain! {
+    enum State {
+        Idle,
+        Sealing { since: Moment, window: Window },
+        Reading { since: Moment, number: u64 },
+        Reporting { since: Moment, number: u64 },
+        Removing { since: Moment },
+    }
+}
+
+plain! {
+    struct Sealed {
+        window: Window,
+        version: u64,
+    }
+}
+
+/// A host's record, and whether it lives.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// What it published.
+    pub record: Record,
+    /// Whether its record still changes.
+    pub alive: bool,
+}
+
+/// The reporter's progress.
+#[derive(Debug)]
+pub struct Reporter {
+    state: State,
+    sealed: Vec<Sealed>,
+    reported: Vec<u64>,
+    next: Moment,
+}
+
+impl Default for Reporter {
+    fn default() -> Self {
+        Self {
+            state: State::Idle,
+            sealed: Vec::new(),
+            reported: Vec::new(),
+            next: Moment::default(),
+        }
+    }
+}
+
+impl Reporter {
+    /// Takes the sealed windows that stand in the store.
+    pub fn adopt(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            if let Some(window) = parse(entry) {
+                self.keep(window, entry.version);
+            }
+        }
+    }
+
+    /// Moves on while in charge; forgets what it reported when not.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        civil_ms: u64,
+        length_s: u64,
+        grant: Option<Grant>,
+        hosts: &[Host],
+    ) -> Option<Step> {
+        let Some(grant) = grant else {
+            *self = Self {
+                sealed: std::mem::take(&mut self.sealed),
+                ..Self::default()
+            };
+            return None;
+        };
+        self.give_up(now);
+        if self.state != State::Idle || !now.reached(self.next) {
+            return None;
+        }
+        let length_ms = length_s * 1_000;
+        let present = civil_ms / length_ms.max(1);
+        let first = present.saturating_sub(BEHIND);
+        for number in first..present {
+            if self.reported.binary_search(&number).is_ok() {
+                continue;
+            }
+            if let Some(window) = self.find(number).cloned() {
+                self.state = State::Reporting { since: now, number };
+                return Some(Step::Report(grant, window));
+            }
+            let past_ms = civil_ms - (number + 1) * length_ms;
+            if let Some(window) = sum(number, (number + 1) * length_ms, past_ms, hosts) {
+                return self.seal(now, window);
+            }
+        }
+        self.remove_old(now, present)
+    }
+
+    /// The store's answer.
+    pub fn answer(&mut self, now: Moment, answer: &Answer) -> Option<Step> {
+        match (std::mem::replace(&mut self.state, State::Idle), answer) {
+            (State::Sealing { window, .. }, Answer::Written(version)) => self.keep(window, *version),
+            (State::Sealing { .. }, Answer::Conflict(entry)) => match parse(entry) {
+                Some(window) => self.keep(window, entry.version),
+                None => self.next = now + PAUSE,
+            },
+            // The write may stand. What is reported must be what stands.
+            (State::Sealing { window, .. }, _) => {
+                let number = window.number;
+                self.state = State::Reading { since: now, number };
+                return Some(Step::Store(Call::Get { key: key(number) }));
+            }
+            (State::Reading { .. }, Answer::Found(entries)) => self.adopt(entries),
+            _ => self.next = now + PAUSE,
+        }
+        None
+    }
+
+    /// What came of the report.
+    pub fn reported(&mut self, now: Moment, accepted: bool) {
+        let State::Reporting { number, .. } = std::mem::replace(&mut self.state, State::Idle) else {
+            return;
+        };
+        if !accepted {
+            self.next = now + PAUSE;
+            return;
+        }
+        if let Err(at) = self.reported.binary_search(&number) {
+            self.reported.insert(at, number);
+        }
+        let over = self.reported.len().saturating_sub(KEPT as usize * 2);
+        self.reported.drain(..over);
+    }
+
+    fn seal(&mut self, now: Moment, window: Window) -> Option<Step> {
+        let value = serde_json::to_string(&window).ok()?;
+        let call = Call::Swap {
+            key: key(window.number),
+            expect: 0,
+            value,
+        };
+        self.state = State::Sealing { since: now, window };
+        Some(Step::Store(call))
+    }
+
+    fn remove_old(&mut self, now: Moment, present: u64) -> Option<Step> {
+        let oldest = self.sealed.first()?;
+        if oldest.window.number + KEPT >= present {
+            return None;
+        }
+        let oldest = self.sealed.remove(0);
+        self.state = State::Removing { since: now };
+        Some(Step::Store(Call::Remove {
+            key: key(oldest.window.number),
+            expect: oldest.version,
+        }))
+    }
+
+    fn find(&self, number: u64) -> Option<&Window> {
+        let found = self
+            .sealed
+            .binary_search_by(|have| have.window.number.cmp(&number));
+        found.ok().map(|at| &self.sealed[at].window)
+    }
+
+    fn keep(&mut self, window: Window, version: u64) {
+        let found = self
+            .sealed
+            .binary_search_by(|have| have.window.number.cmp(&window.number));
+        if let Err(at) = found {
+            self.sealed.insert(at, Sealed { window, version });
+        }
+    }
+
+    fn give_up(&mut self, now: Moment) {
+        let since = match &self.state {
+            State::Idle => return,
+            State::Sealing { since, .. }
+            | State::Reading { since, .. }
+            | State::Reporting { since, .. }
+            | State::Removing { since } => *since,
+        };
+        if now.since(since) >= PATIENCE {
+            self.state = State::Idle;
+        }
+    }
+}
+
+/// The sum over all hosts, once all that live have published up to `end_ms`
+/// or have been waited for; none while it is too early or nothing was counted.
+fn sum(number: u64, end_ms: u64, past_ms: u64, hosts: &[Host]) -> Option<Window> {
+    let whole = |host: &Host| !host.alive || host.record.ended || host.record.until >= end_ms;
+    if past_ms < GRACE_MS || (past_ms < LATE_MS && !hosts.iter().all(whole)) {
+        return None;
+    }
+    let mut total = Window {
+        number,
+        ..Window::default()
+    };
+    let windows = hosts.iter().flat_map(|host| &host.record.windows);
+    for window in windows.filter(|window| window.number == number) {
+        for (customer, count) in &window.counts {
+            total.add(customer, *count);
+        }
+    }
+    (!total.counts.is_empty()).then_some(total)
+}
+
+fn key(number: u64) -> String {
+    format!("{SEALED}{number:012}")
+}
+
+fn parse(entry: &Entry) -> Option<Window> {
+    serde_json::from_str(&entry.value).ok()
+}
--- /dev/null
+++ b/crates/core/src/gate/route.rs
@@ -0,0 +1,262 @@
+//! The operator's document: routes, services, customers and limits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+
+plain! {
+    /// What may be repeated.
+    #[derive(Copy, Eq)]
+    pub enum Mode {
+        /// Runs at most once for each attempt of the caller.
+        Once,
+        /// May run any number of times.
+        Repeatable,
+        /// Answers with events; may go on at another runner if `resumable`.
+        Stream {
+            /// Whether it may go on after its last event.
+            resumable: bool,
+        },
+    }
+}
+
+impl Mode {
+    /// Whether another runner may get the request after one may have run it.
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Mode::Repeatable | Mode::Stream { resumable: true })
+    }
+}
+
+plain! {
+    /// One of the services that a route is split over.
+    pub struct Share {
+        /// Service.
+        pub service: String,
+        /// Weight among the route's shares.
+        pub weight: u32,
+    }
+}
+
+plain! {
+    /// How requests of one host and path prefix are handled.
+    pub struct Route {
+        /// Its name.
+        pub name: String,
+        /// Name in the `Host` header, in lower case.
+        pub host: String,
+        /// Prefix of the path, with a slash at both ends.
+        pub prefix: String,
+        /// What may be repeated.
+        pub mode: Mode,
+        /// Longest time to keep a caller waiting.
+        pub timeout: Option<Duration>,
+        /// Most runners that one request may be sent to.
+        pub attempts: u32,
+        /// Time within which an answer is worth most.
+        pub target: Option<Duration>,
+        /// Longest pause between events of a stream that is on time.
+        pub gap: Option<Duration>,
+        /// Rank, 0 first.
+        pub priority: u8,
+        /// Whether it needs no key.
+        pub public: bool,
+        /// Services that run it; never empty.
+        pub shares: Vec<Share>,
+    }
+}
+
+impl Route {
+    /// Service of one request, by its draw.
+    pub fn service(&self, draw: u64) -> &str {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut left = draw % total.max(1);
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if left < weight {
+                return &share.service;
+            }
+            left -= weight;
+        }
+        self.shares.first().map_or("", |share| &share.service)
+    }
+}
+
+plain! {
+    /// What a model engine can hold.
+    #[derive(Copy)]
+    pub struct Engine {
+        /// Requests it runs at once.
+        pub slots: u32,
+        /// Tokens its memory holds.
+        pub tokens: u64,
+    }
+}
+
+plain! {
+    /// How many runners may be ordered and what they cost.
+    pub struct Scaling {
+        /// Fewest in a zone.
+        pub least: u32,
+        /// Most in a zone.
+        pub most: u32,
+        /// Time from an order until a runner serves.
+        pub boot: Duration,
+        /// Price of reclaimable runners as a share of the full one, if there are any.
+        pub cheap: Option<f64>,
+        /// Price of a runner's second by zone.
+        pub prices: BTreeMap<String, f64>,
+    }
+}
+
+plain! {
+    /// A set of runners that run the same.
+    pub struct Service {
+        /// Its name.
+        pub name: String,
+        /// Connections that one runner takes from all hosts together.
+        pub connections: u32,
+        /// Its engine, if it serves a model.
+        pub engine: Option<Engine>,
+        /// Whether runners may be ordered.
+        pub scaling: Option<Scaling>,
+    }
+}
+
+plain! {
+    /// Who calls.
+    pub struct Customer {
+        /// Its name.
+        pub name: String,
+        /// Its keys, as the operator wrote them; dropped once hashed.
+        pub keys: Vec<String>,
+        /// Rank that goes before the route's.
+        pub priority: Option<u8>,
+    }
+}
+
+plain! {
+    /// What a caller may send, and how slowly.
+    #[derive(Copy)]
+    pub struct Limits {
+        /// Most bytes of a head.
+        pub head: usize,
+        /// Most bytes of a body.
+        pub body: usize,
+        /// Longest time for a head to come.
+        pub head_time: Duration,
+        /// Longest time that a connection may stay idle.
+        pub idle: Duration,
+    }
+}
+
+impl Default for Limits {
+    /// In force until a document says otherwise; the figures are those that
+    /// the first documents of the users carry.
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+type KeyHash = [u8; 32];
+
+/// A document in force.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// The operator's number; rises.
+    pub version: u64,
+    /// The store's revision of the document, by which two are ordered.
+    pub revision: u64,
+    /// Limits on callers.
+    pub limits: Limits,
+    routes: Vec<Arc<Route>>,
+    services: Vec<Service>,
+    customers: Option<Vec<Customer>>,
+    keys: Vec<(KeyHash, usize)>,
+}
+
+impl Table {
+    /// Sorts and indexes the parts of a document. Without `customers` no
+    /// route needs a key.
+    pub fn new(
+        version: u64,
+        revision: u64,
+        routes: Vec<Route>,
+        mut services: Vec<Service>,
+        customers: Option<Vec<Customer>>,
+        limits: Limits,
+    ) -> Self {
+        let mut routes: Vec<Arc<Route>> = routes.into_iter().map(Arc::new).collect();
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut customers = customers;
+        let mut keys = Vec::new();
+        for (at, customer) in customers.iter_mut().flatten().enumerate() {
+            keys.extend(customer.keys.drain(..).map(|key| (hash(&key), at)));
+        }
+        keys.sort_unstable();
+        Self {
+            version,
+            revision,
+            limits,
+            routes,
+            services,
+            customers,
+            keys,
+        }
+    }
+
+    /// The route of a host with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.to_ascii_lowercase();
+        let ends = path.rmatch_indices('/').map(|(at, _)| at);
+        let mut prefixes = ends.map(|at| &path[..=at]);
+        prefixes.find_map(|prefix| {
+            let key = (host.as_str(), prefix);
+            let at = self
+                .routes
+                .binary_search_by(|route| (route.host.as_str(), route.prefix.as_str()).cmp(&key));
+            at.ok().map(|at| &self.routes[at])
+        })
+    }
+
+    /// Whether a route's requests must carry a key.
+    pub fn requires_key(&self, route: &Route) -> bool {
+        self.customers.is_some() && !route.public
+    }
+
+    /// The holder of a key.
+    pub fn customer(&self, key: &str) -> Option<&Customer> {
+        let key = hash(key);
+        let at = self.keys.binary_search_by(|(have, _)| have.cmp(&key)).ok()?;
+        self.customers.as_ref()?.get(self.keys[at].1)
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let at = self
+            .services
+            .binary_search_by(|service| service.name.as_str().cmp(name));
+        at.ok().map(|at| &self.services[at])
+    }
+
+    /// All services.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> &[Arc<Route>] {
+        &self.routes
+    }
+}
+
+fn hash(key: &str) -> KeyHash {
+    Sha256::digest(key.as_bytes()).into()
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -13,17 +13,49 @@
 use crate::store::{Answer, Call, Entry};
 use crate::time::Moment;
 
-/// How long a renewal carries.
-pub const TERM: Duration = Duration::from_secs(6);
-/// How often the holder renews.
-pub const RENEW: Duration = Duration::from_secs(2);
 /// How often a candidate looks.
 pub const LOOK: Duration = Duration::from_secs(2);
-/// Longest time one order or report may be in the air.
-pub const SEND: Duration = Duration::from_secs(2);
-/// Kept back for receivers that ignore fencing numbers: a pause of the holder
-/// between its last check and the bytes leaving is covered up to this long.
-pub const QUIET: Duration = Duration::from_secs(4);
+
+plain! {
+    /// Spans of a lease; the same on all candidates.
+    #[derive(Copy)]
+    pub struct Terms {
+        /// How long a renewal carries.
+        pub term: Duration,
+        /// How often the holder renews.
+        pub renew: Duration,
+        /// Longest time one order or report may be in the air.
+        pub send: Duration,
+        /// Kept back for receivers that ignore fencing numbers: a pause of the
+        /// holder between its last check and the bytes leaving is covered up
+        /// to this long.
+        pub quiet: Duration,
+    }
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(6),
+            renew: Duration::from_secs(2),
+            send: Duration::from_secs(2),
+            quiet: Duration::from_secs(4),
+        }
+    }
+}
+
+impl Terms {
+    /// For receivers that check fencing numbers, with a term that the operator
+    /// sets: three renewals in a term, so that one may be lost.
+    pub fn fenced(term: Duration) -> Self {
+        Self {
+            term,
+            renew: term / 3,
+            send: term / 4,
+            quiet: Duration::ZERO,
+        }
+    }
+}
 /// An answer that has not come by then counts as lost.
 const ANSWER: Duration = Duration::from_secs(3);
 
@@ -59,16 +91,18 @@
         pub fence: u64,
         /// End of the right to act.
         pub until: Moment,
+        /// Longest time that a send may take.
+        pub send: Duration,
     }
 }
 
 impl Grant {
-    /// Whether a send that may take [`SEND`] ends inside the right to act.
+    /// Whether a send begun now ends inside the right to act.
     ///
     /// Asked last thing before each send: a holder that was paused since its
     /// last look finds its time gone here.
     pub fn covers(&self, now: Moment) -> bool {
-        !(now + SEND).reached(self.until)
+        !(now + self.send).reached(self.until)
     }
 }
 
@@ -83,14 +117,23 @@
     held: Option<Grant>,
     next: Moment,
     stopping: bool,
+    terms: Terms,
+    shown: bool,
 }
 
 impl Lease {
-    /// A candidate that knows nothing yet.
+    /// A candidate that knows nothing yet, on the usual terms.
     pub fn new(me: Incarnation, duty: &str) -> Self {
+        Self::with(me, format!("duty/{duty}"), Terms::default())
+    }
+
+    /// A candidate for the record under `key`.
+    pub fn with(me: Incarnation, key: String, terms: Terms) -> Self {
         Self {
             me,
-            key: format!("duty/{duty}"),
+            key,
+            terms,
+            shown: false,
             step: Step::Idle,
             version: 0,
             seen: None,
@@ -121,6 +164,9 @@
         if self.may_take(now) {
             return self.write(now, false);
         }
+        if self.shown {
+            return None;
+        }
         self.step = Step::Reading { sent: now };
         self.next = now + LOOK;
         Some(Call::Get {
@@ -128,6 +174,19 @@
         })
     }
 
+    /// Takes the record from a read that was made for other reasons; a
+    /// candidate that is shown it need not look for itself.
+    ///
+    /// The holder's own writes tell it more: a read that left before one of
+    /// them would show it an older record.
+    pub fn show(&mut self, now: Moment, entry: Option<&Entry>) {
+        if self.held.is_some() || self.step != Step::Idle {
+            return;
+        }
+        self.shown = true;
+        self.observe(now, entry);
+    }
+
     /// Takes the store's answer.
     pub fn answer(&mut self, now: Moment, answer: &Answer) -> Option<Call> {
         match std::mem::replace(&mut self.step, Step::Idle) {
@@ -204,11 +263,12 @@
     }
 
     fn confirm(&mut self, sent: Moment, record: Record) {
-        self.next = sent + RENEW;
+        self.next = sent + self.terms.renew;
         self.seen = Some((record.clone(), sent));
         self.held = (!record.released).then_some(Grant {
             fence: record.fence,
-            until: sent + TERM,
+            until: sent + self.terms.term,
+            send: self.terms.send,
         });
     }
 
@@ -230,13 +290,18 @@
 
     fn may_take(&self, now: Moment) -> bool {
         match &self.seen {
-            None => self.next > Moment::default(),
+            None => self.shown || self.next > Moment::default(),
             Some((record, _)) if record.released => true,
             Some((record, _)) if record.holder == self.me => true,
-            Some((_, since)) => now.since(*since) >= TERM + SEND + QUIET,
+            Some((_, since)) => now.since(*since) >= self.wait(),
         }
     }
 
+    /// Time for which an unchanged record must be respected.
+    fn wait(&self) -> Duration {
+        self.terms.term + self.terms.send + self.terms.quiet
+    }
+
     fn write(&mut self, now: Moment, released: bool) -> Option<Call> {
         let (fence, renewal) = match &self.seen {
             Some((record, _)) if self.held.is_some() => (record.fence, record.renewal + 1),
@@ -252,7 +317,7 @@
         if released {
             self.held = None;
         }
-        self.next = now + RENEW;
+        self.next = now + self.terms.renew;
         let value = serde_json::to_string(&record).ok()?;
         self.step = Step::Writing { sent: now, record };
         Some(Call::Swap {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod error;
+pub mod gate;
 pub mod id;
 pub mod kernel;
 pub mod lease;
--- /dev/null
+++ b/crates/entry/src/gate.rs
@@ -0,0 +1,125 @@
+//! The opaque front: requests are passed on to runners byte by byte, as an
+//! operator's document says, in the words of whatever platform it runs on.
+//!
+//! What it needs of the platform's language stands in [`dialect`]; decisions
+//! are in the core crate. A control thread keeps the beliefs up to date and
+//! holds duties, traffic threads forward.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use arc_swap::ArcSwap;
+use radishstair_core::gate::State;
+use radishstair_core::gate::civil::Civil;
+use radishstair_core::id::Incarnation;
+use radishstair_core::time::Moment;
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use dialect::Dialect;
+
+pub mod accept;
+pub mod admin;
+pub mod dialect;
+pub mod duty;
+pub mod events;
+pub mod forward;
+pub mod line;
+pub mod pool;
+pub mod reply;
+pub mod run;
+pub mod settings;
+pub mod store;
+pub mod stream;
+pub mod sync;
+
+/// Shared by all threads of the process.
+#[derive(Debug)]
+pub struct Shared {
+    /// This process.
+    pub me: Incarnation,
+    /// Clocks.
+    pub clock: Clock,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The platform's language.
+    pub dialect: Arc<dyn Dialect>,
+    /// Settings as last read.
+    pub settings: ArcSwap<settings::Settings>,
+    /// Whether the process was told to stop.
+    pub stopping: AtomicBool,
+    state: Mutex<State>,
+    civil: Mutex<Civil>,
+    running: AtomicUsize,
+}
+
+impl Shared {
+    /// State of a process that has just started.
+    pub fn new(settings: settings::Settings, dialect: Arc<dyn Dialect>) -> Arc<Self> {
+        let state = State::new(settings.bounds.clone(), &settings.zone);
+        Arc::new(Self {
+            me: Incarnation(rand::random()),
+            clock: Clock::default(),
+            metrics: Metrics::default(),
+            dialect,
+            settings: ArcSwap::from_pointee(settings),
+            stopping: AtomicBool::new(false),
+            state: Mutex::new(state),
+            civil: Mutex::default(),
+            running: AtomicUsize::new(0),
+        })
+    }
+
+    /// The beliefs; held for microseconds, never across a wait.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Now.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Civil time in milliseconds, free of jumps.
+    pub fn civil(&self, now: Moment) -> u64 {
+        let mut civil = self.civil.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        civil.now(now)
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub fn flight(self: &Arc<Self>) -> Flight {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        Flight(self.clone())
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    /// Counts a customer's request that a runner began.
+    pub fn count_start(&self, customer: Option<&str>) {
+        let Some(customer) = customer else {
+            return;
+        };
+        let civil = self.civil(self.now());
+        let mut state = self.state();
+        let window = civil / (state.bounds.usage_window_s * 1_000).max(1);
+        state.tally.add(window, customer);
+    }
+}
+
+/// One request in flight.
+#[derive(Debug)]
+pub struct Flight(Arc<Shared>);
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gate/admin.rs
@@ -0,0 +1,70 @@
+//! Readiness for the balancer and metrics for operators.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use super::Shared;
+use super::reply::{Body, full};
+
+/// Where metrics are served.
+const METRICS: &str = "/metrics";
+/// Longest time for a head to come; the balancer asks on each connection.
+const HEAD: Duration = Duration::from_secs(30);
+
+/// Serves both on a listener; the two may be one.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = respond(&shared, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD)
+                .serve_connection(TokioIo::new(stream), service);
+            // The asker asks again on another connection.
+            let _ = served.await;
+        });
+    }
+}
+
+fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        METRICS => {
+            shared.metrics.in_flight.set(shared.in_flight() as i64);
+            answer(StatusCode::OK, shared.metrics.text())
+        }
+        path if path == shared.dialect.ready_path() => readiness(shared),
+        _ => answer(StatusCode::NOT_FOUND, "not found\n".into()),
+    }
+}
+
+fn readiness(shared: &Shared) -> Response<Body> {
+    if shared.is_stopping() {
+        return answer(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".into());
+    }
+    let now = shared.now();
+    match shared.state().is_ready(now) {
+        true => answer(StatusCode::OK, "ready\n".into()),
+        false => answer(StatusCode::SERVICE_UNAVAILABLE, "no fresh configuration\n".into()),
+    }
+}
+
+fn answer(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/entry/src/gate/line.rs
@@ -0,0 +1,119 @@
+//! One connection to a runner or to the platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Unacknowledged bytes end a connection after this time: a host without power
+/// sends no reset. Three retransmissions fit in, so that one lost packet in
+/// thirty does not end it.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Probes on a connection that waits: first after, then every, this many lost.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+
+/// A connection; dropping it closes it at once, which cancels what runs there.
+#[derive(Debug)]
+pub struct Line {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+/// What came of a send.
+#[derive(Debug)]
+pub enum Sent {
+    /// An answer.
+    Answer(Response<Incoming>),
+    /// No byte of the request has left.
+    Never,
+    /// It may have arrived.
+    Maybe,
+}
+
+impl Line {
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// When the address refuses or does not answer within `limit`.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self> {
+        let connecting = timeout(limit, TcpStream::connect(address)).await;
+        let stream = connecting
+            .with_context(|| format!("no answer from {address}"))?
+            .with_context(|| format!("connecting to {address}"))?;
+        tune(&stream).with_context(|| format!("setting up the connection to {address}"))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let task = tokio::spawn(async move {
+            // How it ends shows in the answer that is waited for.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Whether it can take a request.
+    pub async fn is_usable(&mut self) -> bool {
+        !self.sender.is_closed() && self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the answer's head.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Sent::Answer(response),
+            Err(mut err) => match err.take_message() {
+                Some(_) => Sent::Never,
+                None => Sent::Maybe,
+            },
+        }
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_EVERY)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// Whether the other side will close the connection after this answer.
+pub fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+/// How long the other side keeps an idle connection, if it says so.
+pub fn keeps(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/entry/src/gate/pool.rs
@@ -0,0 +1,117 @@
+//! Idle connections to runners.
+//!
+//! The runner closes a connection that was idle for its time-out, and a request
+//! that crosses that close may or may not have run. So a connection is used
+//! again only well inside that time, and for requests that run at most once
+//! only while it is nearly fresh; the most recently used goes first.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use anyhow::Result;
+use radishstair_core::gate::fleet::Key;
+use radishstair_core::time::Moment;
+
+use super::line::Line;
+
+/// Longest time to establish a connection: 1 ms is usual, a lost packet takes
+/// a second, and another runner answers sooner than that.
+pub const CONNECT: Duration = Duration::from_millis(300);
+/// Idle time of the runner where it does not say it.
+const KEPT: Duration = Duration::from_secs(3);
+/// Kept back from the runner's idle time: its clock starts when it writes the
+/// answer, and the next request takes a while to arrive.
+const MARGIN: Duration = Duration::from_millis(700);
+/// Part of the idle time after which a request that runs at most once gets a
+/// new connection.
+const ONCE_PART: u32 = 3;
+/// Most idle connections to one runner.
+const MOST: usize = 24;
+
+#[derive(Debug)]
+struct Idle {
+    line: Line,
+    since: Moment,
+    kept: Duration,
+}
+
+/// Idle connections by runner.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<Vec<(Key, Vec<Idle>)>>,
+}
+
+impl Pool {
+    /// A connection to a runner, and whether it was used before.
+    ///
+    /// # Errors
+    ///
+    /// When the runner cannot be reached; then no byte of a request has left.
+    pub async fn take(
+        &self,
+        now: Moment,
+        key: Key,
+        address: SocketAddr,
+        once: bool,
+        limit: Duration,
+    ) -> Result<(Line, bool)> {
+        while let Some(mut line) = self.pop(now, key, once) {
+            if line.is_usable().await {
+                return Ok((line, true));
+            }
+        }
+        let line = Line::connect(address, limit.min(CONNECT)).await?;
+        Ok((line, false))
+    }
+
+    /// Gives back a connection whose answer was read to its end.
+    pub fn give(&self, now: Moment, key: Key, line: Line, kept: Option<Duration>) {
+        let mut all = self.lock();
+        let at = match all.binary_search_by_key(&key, |(have, _)| *have) {
+            Ok(at) => at,
+            Err(at) => {
+                all.insert(at, (key, Vec::new()));
+                at
+            }
+        };
+        let lines = &mut all[at].1;
+        lines.retain(|idle| now.since(idle.since) < idle.kept);
+        let kept = kept.unwrap_or(KEPT);
+        let since = now;
+        if lines.len() < MOST && kept > MARGIN {
+            lines.push(Idle { line, since, kept });
+        }
+    }
+
+    /// Closes the idle connections to a runner that is no longer the same.
+    pub fn forget(&self, key: Key) {
+        self.lock().retain(|(have, _)| *have != key);
+    }
+
+    fn pop(&self, now: Moment, key: Key, once: bool) -> Option<Line> {
+        let mut all = self.lock();
+        let at = all.binary_search_by_key(&key, |(have, _)| *have).ok()?;
+        let idle = all[at].1.pop()?;
+        let safe = idle.kept.saturating_sub(MARGIN);
+        let limit = if once {
+            safe.min(idle.kept / ONCE_PART)
+        } else {
+            safe
+        };
+        if now.since(idle.since) < limit {
+            return Some(idle.line);
+        }
+        if once && now.since(idle.since) < safe {
+            // Good enough for others.
+            all[at].1.push(idle);
+        } else {
+            all[at].1.clear();
+        }
+        None
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Key, Vec<Idle>)>> {
+        self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gate/store.rs
@@ -0,0 +1,96 @@
+//! Asking the platform: short calls with a time limit each.
+//!
+//! A connection on which an answer was lost returns nothing further, so a call
+//! that ran out of time takes its connection with it.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use tokio::time::timeout;
+
+use super::line::{self, Line, Sent};
+
+/// Longest time to connect.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Most bytes of an answer: a page of the store holds a megabyte of values.
+const BYTES: usize = 8 * 1024 * 1024;
+/// Most idle connections.
+const MOST: usize = 4;
+
+/// What came of a call.
+#[derive(Clone, Debug)]
+pub enum Asked {
+    /// It was answered.
+    Answer(StatusCode, Bytes),
+    /// It did not leave this host.
+    Never,
+    /// It may have been carried out.
+    Lost,
+}
+
+/// Connections to one service of the platform.
+#[derive(Debug, Default)]
+pub struct Asker {
+    idle: Mutex<Vec<Line>>,
+}
+
+impl Asker {
+    /// Asks within a time limit.
+    pub async fn ask(&self, address: SocketAddr, request: Request<Bytes>, limit: Duration) -> Asked {
+        let mut left = false;
+        let asked = timeout(limit, self.send(address, request, &mut left)).await;
+        match asked {
+            Ok(asked) => asked,
+            Err(_) if left => Asked::Lost,
+            Err(_) => Asked::Never,
+        }
+    }
+
+    async fn send(&self, address: SocketAddr, request: Request<Bytes>, left: &mut bool) -> Asked {
+        let Some(mut line) = self.line(address).await else {
+            return Asked::Never;
+        };
+        let (mut parts, body) = request.into_parts();
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            parts.headers.insert(HOST, host);
+        }
+        *left = true;
+        let response = match line.send(Request::from_parts(parts, Full::new(body))).await {
+            Sent::Answer(response) => response,
+            Sent::Never => return Asked::Never,
+            Sent::Maybe => return Asked::Lost,
+        };
+        let (parts, body) = response.into_parts();
+        let Ok(body) = Limited::new(body, BYTES).collect().await else {
+            return Asked::Lost;
+        };
+        if !line::closes(&parts.headers) {
+            let mut idle = self.lock();
+            if idle.len() < MOST {
+                idle.push(line);
+            }
+        }
+        Asked::Answer(parts.status, body.to_bytes())
+    }
+
+    async fn line(&self, address: SocketAddr) -> Option<Line> {
+        loop {
+            let Some(mut line) = self.lock().pop() else {
+                break;
+            };
+            if line.is_usable().await {
+                return Some(line);
+            }
+        }
+        Line::connect(address, CONNECT).await.ok()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Line>> {
+        self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod control;
 pub mod front;
+pub mod gate;
 pub mod handle;
 pub mod metrics;
 pub mod peers;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics by prometheus-client; the list for operators is in the docs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -160,6 +161,19 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Records the time to a first token or whole plain answer.
+    pub fn first_after(&self, class: &str, waited: Duration) {
+        let labels = Class {
+            class: class.to_string(),
+        };
+        self.first.get_or_create(&labels).observe(waited.as_secs_f64());
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_call(&self, call: &'static str, outcome: &'static str) {
+        self.platform.get_or_create(&Platform { call, outcome }).inc();
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -1,4 +1,4 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -8,9 +8,55 @@
 
 /// Starts logging; events below `info` need the filter.
 pub fn start() {
-    let filter = tracing_subscriber::EnvFilter::try_from_env(FILTER)
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     let lines = tracing_logfmt::builder().layer().with_writer(std::io::stderr);
     // A second start in one process (tests) keeps the first.
-    let _ = tracing_subscriber::registry().with(filter).with(lines).try_init();
+    let _ = tracing_subscriber::registry()
+        .with(filter())
+        .with(lines)
+        .try_init();
+}
+
+fn filter() -> tracing_subscriber::EnvFilter {
+    tracing_subscriber::EnvFilter::try_from_env(FILTER)
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"))
+}
+
+/// Lines that wait for the writer before further ones are dropped: a second
+/// of a host's lines at its highest rate.
+const WAITING: usize = 2_048;
+
+/// Starts logging through a thread of its own and a bounded queue. Lines past
+/// the bound are dropped and counted, so that a slow reader of the log never
+/// delays a request. Dropping the guard writes what waits.
+pub fn start_bounded() -> Guard {
+    let (writer, worker) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING)
+        .lossy(true)
+        .thread_name("log")
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    let lines = tracing_logfmt::builder().layer().with_writer(writer);
+    // A second start in one process (tests) keeps the first.
+    let _ = tracing_subscriber::registry()
+        .with(filter())
+        .with(lines)
+        .try_init();
+    Guard {
+        dropped,
+        _worker: worker,
+    }
+}
+
+/// Keeps the writer of the log running.
+#[derive(Debug)]
+pub struct Guard {
+    dropped: tracing_appender::non_blocking::ErrorCounter,
+    _worker: tracing_appender::non_blocking::WorkerGuard,
+}
+
+impl Guard {
+    /// Lines dropped so far.
+    pub fn dropped(&self) -> usize {
+        self.dropped.dropped_lines()
+    }
 }
