Sessions are placed by the part of a prompt that others share; ranks keep routes apart

The trace of real heads shows that the last of three parts is new in each request, so a place computed from it is random.

Ruled out: too small engine memory (1.4 of 2.3 million shared tokens were kept).

Change: the place comes from the part before the last; the rank is the order of the pair of customer's and route's priority.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -59,6 +59,9 @@
 /// past it a newer document may know them.
 const NEWEST: Duration = Duration::from_millis(1_700);
 
+/// Least urgent rank: engines know ten.
+pub const LAST_RANK: u8 = 9;
+
 impl Bounds {
     /// How old the proof may be when a keyed request is passed on.
     pub fn proof(&self) -> Duration {
@@ -89,8 +92,8 @@
         pub service: String,
         /// Whose it is; none on routes that need no key.
         pub customer: Option<String>,
-        /// Rank, 0 first.
-        pub priority: u8,
+        /// Urgency, 0 first, up to [`LAST_RANK`].
+        pub rank: u8,
         /// Whether it needs a fresh proof when it is passed on.
         pub keyed: bool,
         /// Version of the document that admitted it.
@@ -183,11 +186,10 @@
                 Some(found.ok_or_else(|| unless_newest(Kind::UnknownKey))?)
             }
         };
-        let priority = customer.and_then(|customer| customer.priority);
         Ok(Admission {
             service: route.service(ask.draw).to_string(),
             customer: customer.map(|customer| customer.name.clone()),
-            priority: priority.unwrap_or(route.priority),
+            rank: table.rank(route, customer, LAST_RANK),
             keyed: customer.is_some(),
             version: table.version,
             route: route.clone(),
--- a/crates/core/src/gate/route.rs
+++ b/crates/core/src/gate/route.rs
@@ -179,6 +179,8 @@
     services: Vec<Service>,
     customers: Option<Vec<Customer>>,
     keys: Vec<(KeyHash, usize)>,
+    /// Pairs of the deciding priority and the route's own, most urgent first.
+    ranks: Vec<(u8, u8)>,
 }
 
 impl Table {
@@ -201,6 +203,7 @@
             keys.extend(customer.keys.drain(..).map(|key| (hash(&key), at)));
         }
         keys.sort_unstable();
+        let ranks = ranks(&routes, customers.as_deref().unwrap_or_default());
         Self {
             version,
             revision,
@@ -209,6 +212,23 @@
             services,
             customers,
             keys,
+            ranks,
+        }
+    }
+
+    /// Urgency of a request towards an engine, 0 first, up to `last`.
+    ///
+    /// The customer's priority goes before the route's. Customers of the same
+    /// priority still have urgent and less urgent routes: sent with one rank,
+    /// an engine that runs out of memory would put the short urgent ones back
+    /// and let the long ones run on.
+    pub fn rank(&self, route: &Route, customer: Option<&Customer>, last: u8) -> u8 {
+        let pair = pair(route, customer);
+        let at = self.ranks.partition_point(|have| *have < pair);
+        let most = self.ranks.len().saturating_sub(1).max(1);
+        match most <= usize::from(last) {
+            true => at.min(usize::from(last)) as u8,
+            false => (at * usize::from(last) / most) as u8,
         }
     }
 
@@ -257,6 +277,22 @@
     }
 }
 
+fn pair(route: &Route, customer: Option<&Customer>) -> (u8, u8) {
+    let first = customer.and_then(|customer| customer.priority);
+    (first.unwrap_or(route.priority), route.priority)
+}
+
+fn ranks(routes: &[Arc<Route>], customers: &[Customer]) -> Vec<(u8, u8)> {
+    let mut ranks: Vec<(u8, u8)> = Vec::new();
+    for route in routes {
+        ranks.push(pair(route, None));
+        ranks.extend(customers.iter().map(|customer| pair(route, Some(customer))));
+    }
+    ranks.sort_unstable();
+    ranks.dedup();
+    ranks
+}
+
 fn hash(key: &str) -> KeyHash {
     Sha256::digest(key.as_bytes()).into()
 }
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -162,6 +162,7 @@
         route,
         service = job.admission.service,
         customer = job.admission.customer,
+        rank = job.admission.rank,
         version = job.admission.version,
         outcome,
         status,
--- a/crates/entry/src/gate/dialect.rs
+++ b/crates/entry/src/gate/dialect.rs
@@ -33,10 +33,20 @@
     pub prompt: u64,
     /// Most tokens of the answer.
     pub output: u64,
-    /// Parts of the prompt, in order; the last one is the session's own.
+    /// Parts of the prompt, in order; the last one is the request's own or its
+    /// session's.
     pub parts: Vec<Part>,
 }
 
+impl Head {
+    /// The deepest part that other requests are likely to share: the last one
+    /// is the request's own where there are others before it.
+    pub fn subject(&self) -> Option<u64> {
+        let at = self.parts.len().checked_sub(2).unwrap_or_default();
+        self.parts.get(at).map(|part| part.id)
+    }
+}
+
 /// A part of a prompt that requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -72,11 +72,10 @@
     }
 
     fn demand(&self, draw: u64) -> Demand {
-        let session = self.head.parts.last().map(|part| part.id);
         Demand {
             service: self.admission.service.clone(),
             prompt: self.head.prompt,
-            session,
+            session: self.head.subject(),
             draw,
         }
     }
@@ -402,7 +401,7 @@
         let pass = Pass {
             instance: &slot.id,
             left: job.left(now),
-            rank: job.is_stream().then_some(job.admission.priority),
+            rank: job.is_stream().then_some(job.admission.rank),
             customer: job.admission.customer.as_deref(),
             after: after.or(job.head.last_event),
         };
