Towards engines the route decides the rank, and the customer among equals

An engine out of memory puts the least urgent back; ordered by customer first, short urgent streams of most customers were put back beside long ones of a few.

--- a/crates/core/src/gate/route.rs
+++ b/crates/core/src/gate/route.rs
@@ -179,7 +179,7 @@
     services: Vec<Service>,
     customers: Option<Vec<Customer>>,
     keys: Vec<(KeyHash, usize)>,
-    /// Pairs of the deciding priority and the route's own, most urgent first.
+    /// Pairs of the route's and the customer's priority, most urgent first.
     ranks: Vec<(u8, u8)>,
 }
 
@@ -218,10 +218,10 @@
 
     /// Urgency of a request towards an engine, 0 first, up to `last`.
     ///
-    /// The customer's priority goes before the route's. Customers of the same
-    /// priority still have urgent and less urgent routes: sent with one rank,
-    /// an engine that runs out of memory would put the short urgent ones back
-    /// and let the long ones run on.
+    /// An engine that runs out of memory puts the least urgent requests back,
+    /// in the middle of their streams. Ordered by customer first, it would put
+    /// back the short urgent streams of most customers and let the long ones of
+    /// a few run on, so here the route decides, and the customer among equals.
     pub fn rank(&self, route: &Route, customer: Option<&Customer>, last: u8) -> u8 {
         let pair = pair(route, customer);
         let at = self.ranks.partition_point(|have| *have < pair);
@@ -278,8 +278,8 @@
 }
 
 fn pair(route: &Route, customer: Option<&Customer>) -> (u8, u8) {
-    let first = customer.and_then(|customer| customer.priority);
-    (first.unwrap_or(route.priority), route.priority)
+    let own = customer.and_then(|customer| customer.priority);
+    (route.priority, own.unwrap_or(route.priority))
 }
 
 fn ranks(routes: &[Arc<Route>], customers: &[Customer]) -> Vec<(u8, u8)> {
