Placement by cost, with the load that hosts tell each other

Ruled out: equal loads by count (a prompt of 54,000 tokens is forty of 1,300).

Change: each candidate's cost is the work still unread there, the prompt's own work less what is kept, what reading a shared part again costs, and what crossing between the parts for long and short prompts harms; 0.7 of a zone's runners are for long ones. Hosts tell each other over UDP what they have on each runner, every 200 ms.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -9,11 +9,14 @@
 use std::sync::Arc;
 
 use crate::error::{Kind, Refusal};
+use crate::id::Incarnation;
 use crate::time::Moment;
 
 pub mod budget;
 pub mod civil;
 pub mod fleet;
+pub mod load;
+pub mod memory;
 pub mod place;
 pub mod proof;
 pub mod report;
@@ -22,7 +25,10 @@
 pub mod tally;
 
 use budget::Budgets;
-use fleet::Fleet;
+use fleet::{Fleet, Key};
+use load::{News, Peers};
+use memory::Memory;
+use place::{Choice, Demand};
 use proof::Proof;
 use route::{Route, Table};
 use tally::Tally;
@@ -112,6 +118,10 @@
     pub proof: Proof,
     /// Runners.
     pub fleet: Fleet,
+    /// Where prompts were read.
+    pub memory: Memory,
+    /// What other hosts have on runners.
+    pub peers: Peers,
     /// Repeats that are left.
     pub budgets: Budgets,
     /// Usage of this host.
@@ -128,6 +138,8 @@
             table: None,
             proof: Proof::default(),
             fleet: Fleet::new(zone),
+            memory: Memory::default(),
+            peers: Peers::default(),
             budgets: Budgets::default(),
             tally: Tally::default(),
             hosts: 1,
@@ -202,6 +214,21 @@
         !admission.keyed || self.is_fresh(now)
     }
 
+    /// Chooses a runner and counts the request there.
+    pub fn place(&mut self, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
+        let choice = place::choose(&self.fleet, &self.memory, now, demand, tried)?;
+        self.fleet.begin(choice.key, choice.work, demand.held());
+        if let Some(subject) = demand.subject() {
+            self.memory.note(now, subject.id, choice.key);
+        }
+        Some(choice)
+    }
+
+    /// Takes what another host has on runners.
+    pub fn hear(&mut self, now: Moment, me: Incarnation, news: News) {
+        self.peers.hear(now, me, news, &mut self.fleet, self.hosts);
+    }
+
     /// Takes a repeat out of the shared budget, if one is left.
     pub fn may_repeat(&mut self, now: Moment, service: &str) -> bool {
         self.budgets.take(now, service, &self.bounds, self.hosts)
--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::load::Row;
 use super::place;
 use crate::time::Moment;
 
@@ -83,14 +84,10 @@
     pub struct Runner {
         /// As listed.
         pub listed: Listed,
-        /// This host's requests on it.
-        pub running: u32,
-        /// Prompt tokens of this host that it has yet to read.
-        pub unread: u64,
-        /// Requests of other hosts on it, as they last said.
-        pub others: u32,
-        /// Prompt tokens of other hosts that it has yet to read.
-        pub others_unread: u64,
+        /// What this host has on it.
+        pub own: Row,
+        /// What other hosts have on it, as they last said.
+        pub others: Row,
         /// Kept for long prompts, so that these do not delay short streams.
         pub long: bool,
         present: bool,
@@ -113,12 +110,18 @@
 
     /// Requests on it, as far as this host knows.
     pub fn load(&self) -> u32 {
-        self.running + self.others
+        self.own.running + self.others.running
     }
 
-    /// Prompt tokens that it has yet to read, as far as this host knows.
+    /// Work that it has yet to read, in prompt tokens, as far as this host knows.
     pub fn backlog(&self) -> u64 {
-        self.unread + self.others_unread
+        self.own.work + self.others.work
+    }
+
+    /// Tokens in its memory when all that runs there has ended, as far as this
+    /// host knows.
+    pub fn held(&self) -> u64 {
+        self.own.held + self.others.held
     }
 }
 
@@ -207,10 +210,8 @@
         self.ids.insert(at, (listed.id.clone(), key));
         self.arena.push(Runner {
             listed,
-            running: 0,
-            unread: 0,
-            others: 0,
-            others_unread: 0,
+            own: Row::default(),
+            others: Row::default(),
             long: false,
             present: true,
             replaced: false,
@@ -245,34 +246,35 @@
             .filter(move |(_, runner)| runner.listed.service == service && runner.is_open(now))
     }
 
-    /// A request with `prompt` tokens goes to a runner.
-    pub fn begin(&mut self, key: Key, prompt: u64) {
+    /// A request goes to a runner: `work` to read, `held` in its memory.
+    pub fn begin(&mut self, key: Key, work: u64, held: u64) {
         if let Some(runner) = self.arena.get_mut(key.index()) {
-            runner.running += 1;
-            runner.unread += prompt;
+            runner.own.running += 1;
+            runner.own.work += work;
+            runner.own.held += held;
         }
     }
 
     /// The runner has read the prompt: the first token came.
-    pub fn read(&mut self, key: Key, prompt: u64) {
+    pub fn read(&mut self, key: Key, work: u64) {
         if let Some(runner) = self.arena.get_mut(key.index()) {
-            runner.unread = runner.unread.saturating_sub(prompt);
+            runner.own.work = runner.own.work.saturating_sub(work);
         }
     }
 
-    /// The request is over; `prompt` tokens were not yet read.
-    pub fn end(&mut self, key: Key, prompt: u64) {
+    /// The request is over; `work` was not yet read.
+    pub fn end(&mut self, key: Key, work: u64, held: u64) {
         if let Some(runner) = self.arena.get_mut(key.index()) {
-            runner.running = runner.running.saturating_sub(1);
-            runner.unread = runner.unread.saturating_sub(prompt);
+            runner.own.running = runner.own.running.saturating_sub(1);
+            runner.own.work = runner.own.work.saturating_sub(work);
+            runner.own.held = runner.own.held.saturating_sub(held);
         }
     }
 
-    /// Replaces what other hosts have on a runner.
-    pub fn others(&mut self, key: Key, running: u32, unread: u64) {
-        if let Some(runner) = self.arena.get_mut(key.index()) {
-            runner.others = running;
-            runner.others_unread = unread;
+    /// Replaces what other hosts have on each runner.
+    pub fn others(&mut self, of: impl Fn(&str) -> Row) {
+        for runner in &mut self.arena {
+            runner.others = of(&runner.listed.id);
         }
     }
 
--- /dev/null
+++ b/crates/core/src/gate/load.rs
@@ -0,0 +1,130 @@
+//! Load on runners as the hosts tell each other.
+//!
+//! Each host sends what it has on each runner, several times a second, to all
+//! others. The news replaces what it said before; a lost datagram costs one
+//! beat. A host that falls silent is forgotten, as its requests end with it.
+
+use std::time::Duration;
+
+use prost::Message;
+
+use super::fleet::Fleet;
+use crate::id::{Incarnation, digest};
+use crate::time::Moment;
+
+/// Time between news where few hosts talk.
+pub const BEAT: Duration = Duration::from_millis(200);
+/// Hosts up to which the beat is kept; with more it slows down in proportion, so
+/// that a host hears no more than 50 datagrams a second.
+const FEW: u32 = 10;
+/// Beats after which a silent host is forgotten.
+const SILENT: u32 = 8;
+
+/// What one host has on one runner.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Row {
+    /// Hash of the runner's id.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// Requests that run or wait there.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Work that it has yet to read, in prompt tokens.
+    #[prost(uint64, tag = "3")]
+    pub work: u64,
+    /// Tokens that its requests hold in memory at their end.
+    #[prost(uint64, tag = "4")]
+    pub held: u64,
+}
+
+/// What one host has on all runners.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    /// Who says it.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Rises with each; an older one that comes late says nothing.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Runners on which it has anything.
+    #[prost(message, repeated, tag = "3")]
+    pub rows: Vec<Row>,
+}
+
+/// Time between news among `hosts`.
+pub fn beat(hosts: u32) -> Duration {
+    BEAT * hosts.div_ceil(FEW).max(1)
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    heard: Moment,
+    news: News,
+}
+
+/// News of all other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: Vec<Peer>,
+}
+
+impl Peers {
+    /// Takes news in.
+    pub fn hear(&mut self, now: Moment, me: Incarnation, news: News, fleet: &mut Fleet, hosts: u32) {
+        if news.incarnation == me.0 {
+            return;
+        }
+        let found = self
+            .peers
+            .binary_search_by_key(&news.incarnation, |peer| peer.news.incarnation);
+        match found {
+            Ok(at) if self.peers[at].news.number >= news.number => return,
+            Ok(at) => self.peers[at] = Peer { heard: now, news },
+            Err(at) => self.peers.insert(at, Peer { heard: now, news }),
+        }
+        self.forget(now, hosts);
+        self.sum(fleet);
+    }
+
+    /// Forgets hosts that fell silent.
+    fn forget(&mut self, now: Moment, hosts: u32) {
+        let limit = beat(hosts) * SILENT;
+        self.peers.retain(|peer| now.since(peer.heard) < limit);
+    }
+
+    fn sum(&self, fleet: &mut Fleet) {
+        let mut rows: Vec<Row> = self
+            .peers
+            .iter()
+            .flat_map(|peer| peer.news.rows.iter().copied())
+            .collect();
+        rows.sort_unstable_by_key(|row| row.runner);
+        fleet.others(|id| {
+            let hash = digest(id.as_bytes());
+            let from = rows.partition_point(|row| row.runner < hash);
+            let own = rows[from..].iter().take_while(|row| row.runner == hash);
+            own.fold(Row::default(), |sum, row| Row {
+                runner: hash,
+                running: sum.running + row.running,
+                work: sum.work + row.work,
+                held: sum.held + row.held,
+            })
+        });
+    }
+}
+
+/// What this host tells.
+pub fn news(me: Incarnation, number: u64, fleet: &Fleet) -> News {
+    let rows = fleet
+        .all()
+        .filter(|(_, runner)| runner.own.running > 0)
+        .map(|(_, runner)| Row {
+            runner: digest(runner.listed.id.as_bytes()),
+            ..runner.own
+        });
+    News {
+        incarnation: me.0,
+        number,
+        rows: rows.collect(),
+    }
+}
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -1,13 +1,20 @@
 //! Which runner a request goes to.
 //!
-//! Two patterns are answered here. A long prompt is read in chunks between the
-//! tokens of all requests beside it and makes short streams pause, so a part of
-//! each zone's runners is kept for long prompts. And requests of one session
-//! share the beginnings of their prompts, so each session has a place of its
-//! own that all hosts compute alike (rendezvous hashing), left only when that
-//! runner carries clearly more than its peers.
+//! Each candidate gets a cost, counted in prompt tokens that an engine reads in
+//! the time that would be lost; the least cost wins. Three patterns are
+//! answered:
+//!
+//! - A long prompt is read in chunks between the tokens of all requests beside
+//!   it and makes short streams pause. A part of each zone's runners is kept for
+//!   long prompts, and crossing over costs what the crossing harms.
+//! - Requests about one subject share the beginnings of their prompts. Each
+//!   subject has a home that all hosts compute alike (rendezvous hashing), and
+//!   reading its beginning again elsewhere costs more than a short wait.
+//! - Many hosts choose at once from old news, so the work that was sent and not
+//!   yet read counts at once, not when a runner reports it.
 
 use super::fleet::{Fleet, Key, Runner};
+use super::memory::Memory;
 use crate::id::{digest, weight};
 use crate::time::Moment;
 
@@ -16,12 +23,36 @@
 /// 12,000 above.
 pub const LONG: u64 = 3_500;
 /// Part of a zone's runners that is kept for long prompts.
-const LONG_PART: f64 = 0.5;
-/// Requests by which a session's own runner may exceed the mean load before
-/// the session moves on.
-const LEAN: f64 = 2.0;
-/// The same as a factor on the mean.
-const LEAN_FACTOR: f64 = 1.3;
+const LONG_PART: f64 = 0.7;
+/// Tokens at which reading in the context of a prompt doubles its cost: both
+/// sites' engines read about 65 tokens a millisecond and spend 0.65 ms on a
+/// million pairs of tokens.
+const QUADRATIC: f64 = 48_000.0;
+/// Cost of a shared token that is read again, in tokens: the operators price a
+/// thousand of them like a fifth of a mean long request, which is late after
+/// 2.5 s, the time for 160,000 tokens.
+const REREAD: f64 = 20.0;
+/// Cost of each request that runs on a runner already, in tokens: it slows the
+/// steps of the others by a few milliseconds over their life.
+const BESIDE: f64 = 300.0;
+/// Cost of a long prompt on a runner kept for short ones, in tokens (0.9 s),
+/// and for each request there that it makes pause.
+const CROSS_LONG: f64 = 60_000.0;
+const CROSS_LONG_EACH: f64 = 5_000.0;
+/// Cost of a short prompt on a runner kept for long ones, in tokens (0.4 s):
+/// about the pause that a long prompt beside it causes.
+const CROSS_SHORT: f64 = 25_000.0;
+
+plain! {
+    /// A part of a prompt that requests may share.
+    #[derive(Copy, Eq)]
+    pub struct Part {
+        /// Its id.
+        pub id: u64,
+        /// Its length in tokens.
+        pub tokens: u64,
+    }
+}
 
 plain! {
     /// What a request asks of its runner.
@@ -31,61 +62,118 @@
         pub service: String,
         /// Tokens of its prompt; 0 for plain services.
         pub prompt: u64,
-        /// Hash of the session that its prompt belongs to.
-        pub session: Option<u64>,
+        /// Tokens of its answer, as expected.
+        pub output: u64,
+        /// Parts of its prompt in order; the last one is its own where there
+        /// are others before it.
+        pub parts: Vec<Part>,
         /// Draw that decides among equals.
         pub draw: u64,
     }
 }
 
+impl Demand {
+    /// The deepest part that other requests are likely to share.
+    pub fn subject(&self) -> Option<Part> {
+        let at = self.parts.len().checked_sub(2).unwrap_or_default();
+        self.parts.get(at).copied()
+    }
+
+    /// Whether it counts as long.
+    pub fn is_long(&self) -> bool {
+        self.prompt >= LONG
+    }
+
+    /// Tokens that it holds in a runner's memory to its end.
+    pub fn held(&self) -> u64 {
+        self.prompt + self.output
+    }
+}
+
+plain! {
+    /// A runner for a request.
+    #[derive(Copy)]
+    pub struct Choice {
+        /// The runner.
+        pub key: Key,
+        /// Work that the prompt is for it, in tokens.
+        pub work: u64,
+    }
+}
+
 /// Divides each zone's runners of a service between long and short prompts,
 /// the same way on every host.
 pub fn part(runners: &mut [Runner]) {
     let mut order: Vec<usize> = (0..runners.len()).filter(|at| runners[*at].is_listed()).collect();
     let group = |runner: &Runner| (runner.listed.service.clone(), runner.listed.zone.clone());
-    order.sort_by_cached_key(|at| {
-        let listed = &runners[*at].listed;
-        (
-            group(&runners[*at]),
-            listed.reclaimable,
-            digest(listed.id.as_bytes()),
-        )
-    });
+    order.sort_by_cached_key(|at| (group(&runners[*at]), digest(runners[*at].listed.id.as_bytes())));
     let mut rest = order.as_slice();
     while let Some(first) = rest.first() {
         let key = group(&runners[*first]);
         let size = rest.iter().take_while(|at| group(&runners[**at]) == key).count();
         let (zone, tail) = rest.split_at(size);
-        // Of an odd number the smaller part goes to long prompts, and none of one.
-        let long = (size as f64 * LONG_PART) as usize;
+        // The last one of a zone serves both.
+        let long = ((size as f64 * LONG_PART).round() as usize).min(size - 1);
         for (rank, at) in zone.iter().enumerate() {
-            // Every other one, so that both parts get runners of both prices.
-            runners[*at].long = rank % 2 == 1 && rank / 2 < long;
+            runners[*at].long = rank < long;
         }
         rest = tail;
     }
 }
 
 /// Chooses a runner, other than those in `tried`.
-pub fn choose(fleet: &Fleet, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Key> {
+pub fn choose(fleet: &Fleet, memory: &Memory, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
     let open: Vec<(Key, &Runner)> = fleet
         .open(now, &demand.service)
         .filter(|(key, _)| !tried.contains(key))
         .collect();
     if demand.prompt == 0 {
-        return nearest(fleet, &open, demand);
-    }
-    let long = demand.prompt >= LONG;
-    let kept: Vec<(Key, &Runner)> = open
-        .iter()
-        .filter(|(_, runner)| runner.long == long)
-        .copied()
-        .collect();
-    let set = if kept.is_empty() { &open } else { &kept };
-    match demand.session {
-        Some(session) => by_session(set, session),
-        None => least(set, demand),
+        let key = nearest(fleet, &open, demand)?;
+        return Some(Choice { key, work: 0 });
     }
+    let home = home(&open, demand);
+    let subject = demand.subject();
+    let candidates = open.iter().map(|(key, runner)| {
+        let kept = subject
+            .filter(|part| home == Some(*key) || memory.knows(now, part.id, *key))
+            .map_or(0, |part| part.tokens);
+        let shared = subject.map_or(0, |part| part.tokens);
+        let work = work(demand.prompt, kept);
+        let cost = cost(runner, demand, work) + REREAD * (shared - kept) as f64;
+        (cost, *key, work as u64)
+    });
+    let least = candidates.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Choice {
+        key: least.1,
+        work: least.2,
+    })
+}
+
+/// Work to read a prompt of which the first `kept` tokens are in memory.
+fn work(prompt: u64, kept: u64) -> f64 {
+    let whole = |tokens: u64| tokens as f64 * (1.0 + tokens as f64 / (2.0 * QUADRATIC));
+    whole(prompt) - whole(kept.min(prompt))
+}
+
+fn cost(runner: &Runner, demand: &Demand, work: f64) -> f64 {
+    let beside = f64::from(runner.load());
+    let crossing = match (demand.is_long(), runner.long) {
+        (true, false) => CROSS_LONG + CROSS_LONG_EACH * beside,
+        (false, true) => CROSS_SHORT,
+        _ => 0.0,
+    };
+    runner.backlog() as f64 + work + BESIDE * beside + crossing
+}
+
+/// The subject's home: the same on every host that knows the same runners.
+fn home(open: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
+    let subject = demand.subject()?.id;
+    let rank = |runner: &Runner| weight(subject, digest(runner.listed.id.as_bytes()));
+    let long = demand.is_long();
+    let fits = |runner: &&(Key, &Runner)| runner.1.long == long;
+    let kept = open.iter().filter(fits).max_by_key(|(_, runner)| rank(runner));
+    let any = || open.iter().max_by_key(|(_, runner)| rank(runner));
+    kept.or_else(any).map(|(key, _)| *key)
 }
 
 /// Plain requests are short: one of this zone with a free slot, else any.
@@ -103,13 +191,3 @@
     let chosen = set.iter().min_by_key(|(key, runner)| order(*key, runner));
     chosen.map(|(key, _)| *key)
 }
-
-fn by_session(set: &[(Key, &Runner)], session: u64) -> Option<Key> {
-    let total: u32 = set.iter().map(|(_, runner)| runner.load()).sum();
-    let mean = f64::from(total) / set.len().max(1) as f64;
-    let bound = mean * LEAN_FACTOR + LEAN;
-    let rank = |runner: &Runner| weight(session, digest(runner.listed.id.as_bytes()));
-    let fits = set.iter().filter(|(_, runner)| f64::from(runner.load()) <= bound);
-    let chosen = fits.max_by_key(|(_, runner)| rank(runner));
-    chosen.map(|(key, _)| *key)
-}
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -5,6 +5,7 @@
 //! are in the core crate. A control thread keeps the beliefs up to date and
 //! holds duties, traffic threads forward.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -25,6 +26,7 @@
 pub mod events;
 pub mod forward;
 pub mod line;
+pub mod peers;
 pub mod pool;
 pub mod reply;
 pub mod run;
@@ -51,6 +53,7 @@
     state: Mutex<State>,
     civil: Mutex<Civil>,
     running: AtomicUsize,
+    peers: ArcSwap<Vec<SocketAddr>>,
 }
 
 impl Shared {
@@ -67,6 +70,7 @@
             state: Mutex::new(state),
             civil: Mutex::default(),
             running: AtomicUsize::new(0),
+            peers: ArcSwap::default(),
         })
     }
 
--- a/crates/entry/src/gate/dialect.rs
+++ b/crates/entry/src/gate/dialect.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::Kind;
 use radishstair_core::gate::fleet::Listed;
+use radishstair_core::gate::place::Part;
 use radishstair_core::gate::route::Table;
 use radishstair_core::gate::supply::Order;
 use radishstair_core::gate::tally::Window;
@@ -33,29 +34,13 @@
     pub prompt: u64,
     /// Most tokens of the answer.
     pub output: u64,
+    /// Tokens of the answer as the caller expects them; often far off.
+    pub hint: Option<u64>,
     /// Parts of the prompt, in order; the last one is the request's own or its
     /// session's.
     pub parts: Vec<Part>,
 }
 
-impl Head {
-    /// The deepest part that other requests are likely to share: the last one
-    /// is the request's own where there are others before it.
-    pub fn subject(&self) -> Option<u64> {
-        let at = self.parts.len().checked_sub(2).unwrap_or_default();
-        self.parts.get(at).map(|part| part.id)
-    }
-}
-
-/// A part of a prompt that requests may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Part {
-    /// Its id.
-    pub id: u64,
-    /// Its length in tokens.
-    pub tokens: u64,
-}
-
 /// What the head towards a runner says besides the caller's own.
 #[derive(Clone, Copy, Debug)]
 pub struct Pass<'a> {
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -3,6 +3,7 @@
 //! The duty is a record in the store that its holder renews. Each host also
 //! publishes its own counts, which tell the others that it lives.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -176,12 +177,10 @@
             self.inherited = true;
         }
         self.hosts = hosts;
-        let alive = self
-            .hosts
-            .iter()
-            .filter(|known| self.is_alive(now, known))
-            .count();
-        self.shared.state().hosts = (alive as u32).max(1);
+        let alive = self.hosts.iter().filter(|known| self.is_alive(now, known));
+        let peers: Vec<SocketAddr> = alive.filter_map(|known| known.record.peer.parse().ok()).collect();
+        self.shared.state().hosts = (peers.len() as u32).max(1);
+        self.shared.peers.store(Arc::new(peers));
     }
 
     /// Adds what a former run under this name had counted.
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -16,7 +16,7 @@
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::Admission;
 use radishstair_core::gate::fleet::{Key, Sign};
-use radishstair_core::gate::place::{self, Demand};
+use radishstair_core::gate::place::Demand;
 use radishstair_core::gate::route::Mode;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
@@ -75,7 +75,8 @@
         Demand {
             service: self.admission.service.clone(),
             prompt: self.head.prompt,
-            session: self.head.subject(),
+            output: self.head.hint.unwrap_or(self.head.output).min(self.head.output),
+            parts: self.head.parts.clone(),
             draw,
         }
     }
@@ -100,14 +101,15 @@
     pub key: Key,
     /// Its id.
     pub id: String,
-    unread: u64,
+    work: u64,
+    held: u64,
 }
 
 impl Slot {
     /// The runner has read the prompt.
     pub fn read(&mut self) {
-        self.shared.state().fleet.read(self.key, self.unread);
-        self.unread = 0;
+        self.shared.state().fleet.read(self.key, self.work);
+        self.work = 0;
     }
 
     /// Tells of the runner's health.
@@ -119,7 +121,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.shared.state().fleet.end(self.key, self.unread);
+        self.shared.state().fleet.end(self.key, self.work, self.held);
     }
 }
 
@@ -243,15 +245,15 @@
     fn pick(&self, now: Moment, job: &Job, tried: &[Key]) -> Option<Slot> {
         let demand = job.demand(rand::random());
         let mut state = self.shared.state();
-        let key = place::choose(&state.fleet, now, &demand, tried)?;
-        state.fleet.begin(key, demand.prompt);
-        let id = state.fleet.get(key)?.listed.id.clone();
+        let choice = state.place(now, &demand, tried)?;
+        let id = state.fleet.get(choice.key)?.listed.id.clone();
         drop(state);
         Some(Slot {
             shared: self.shared.clone(),
-            key,
+            key: choice.key,
             id,
-            unread: demand.prompt,
+            work: choice.work,
+            held: demand.held(),
         })
     }
 
--- /dev/null
+++ b/crates/entry/src/gate/peers.rs
@@ -0,0 +1,63 @@
+//! Sending and hearing what hosts have on runners, over UDP.
+//!
+//! Nothing is decided by this news but which of several good runners gets a
+//! request, so it needs no acknowledgement.
+
+use std::sync::Arc;
+
+use prost::Message;
+use radishstair_core::gate::load::{self, News};
+use tokio::net::UdpSocket;
+
+use super::Shared;
+
+/// Most bytes of one datagram; news of 1,500 runners fit in.
+const DATAGRAM: usize = 48 * 1024;
+
+/// Sends and hears until the process ends.
+pub async fn run(shared: Arc<Shared>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    tokio::spawn(hear(shared.clone(), socket.clone()));
+    let mut number = 0;
+    let mut idle = false;
+    loop {
+        number += 1;
+        let (news, pause) = {
+            let state = shared.state();
+            (
+                load::news(shared.me, number, &state.fleet),
+                load::beat(state.hosts),
+            )
+        };
+        // That nothing runs any more is said once.
+        if !news.rows.is_empty() || !idle {
+            idle = news.rows.is_empty();
+            send(&shared, &socket, &news).await;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn send(shared: &Shared, socket: &UdpSocket, news: &News) {
+    let bytes = news.encode_to_vec();
+    let own = shared.settings.load().peer_listen;
+    for peer in shared.peers.load().iter().filter(|peer| **peer != own) {
+        // The next beat says it again.
+        let _ = socket.send_to(&bytes, *peer).await;
+    }
+}
+
+async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut bytes = vec![0; DATAGRAM];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
+            // A peer's closed port shows here; others may still send.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        if let Ok(news) = News::decode(&bytes[..length]) {
+            let now = shared.now();
+            shared.state().hear(now, shared.me, news);
+        }
+    }
+}
--- a/crates/entry/src/gate/run.rs
+++ b/crates/entry/src/gate/run.rs
@@ -9,7 +9,7 @@
 use anyhow::{Context, Result};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -19,7 +19,7 @@
 use super::pool::Pool;
 use super::settings::Settings;
 use super::store::Asker;
-use super::{Shared, accept, admin, sync};
+use super::{Shared, accept, admin, peers, sync};
 
 /// How long a stopping host goes on accepting: the balancer asks once a second
 /// and turns away after two misses, and its answer may be a moment late.
@@ -93,6 +93,9 @@
     };
     let ready = bind("ready_listen", settings.ready_listen)?;
     let metrics = bind("admin_listen", settings.admin_listen)?;
+    let peers = control
+        .block_on(UdpSocket::bind(settings.peer_listen))
+        .with_context(|| format!("peer_listen: binding {}", settings.peer_listen))?;
     let (finish, told) = oneshot::channel();
     let (done, finished) = crossbeam::channel::bounded(1);
     let shared = shared.clone();
@@ -100,6 +103,7 @@
         control.block_on(async move {
             tokio::spawn(admin::serve(shared.clone(), ready));
             tokio::spawn(admin::serve(shared.clone(), metrics));
+            tokio::spawn(peers::run(shared.clone(), peers));
             let store = Arc::new(Asker::default());
             let (own, read) = mpsc::channel(1);
             tokio::spawn(sync::run(shared.clone(), store.clone(), runners, own));
