Usage records of each run, told to peers too; windows wait for hosts that were cut off

The log shows: while the store was away no record changed, so all hosts counted as gone and the windows were sealed from old records at its return; and hosts cut off for 8 s were waited for 4.5 s, though a report is due after 10.

Ruled out: lost counts (the hosts' later records held them).

Change: one record a run, which only grows, so that copies merge by how far they reach; peers hear the same record each second over UDP; silence while the store is away is excused; a window is sealed when all that live have told, or 1.9 s before it is due.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -31,7 +31,7 @@
 use place::{Choice, Demand};
 use proof::Proof;
 use route::{Route, Table};
-use tally::Tally;
+use tally::{Ledger, Tally};
 
 plain! {
     /// Bounds that the operator promises to callers and that hold for all hosts.
@@ -126,6 +126,8 @@
     pub budgets: Budgets,
     /// Usage of this host.
     pub tally: Tally,
+    /// Usage of all hosts, as told.
+    pub ledger: Ledger,
     /// Hosts that are alive, this one included.
     pub hosts: u32,
 }
@@ -142,6 +144,7 @@
             peers: Peers::default(),
             budgets: Budgets::default(),
             tally: Tally::default(),
+            ledger: Ledger::default(),
             hosts: 1,
         }
     }
@@ -226,6 +229,9 @@
 
     /// Takes what another host has on runners.
     pub fn hear(&mut self, now: Moment, me: Incarnation, news: News) {
+        if let Ok(record) = serde_json::from_slice(&news.record) {
+            self.ledger.take(now, record);
+        }
         self.peers.hear(now, me, news, &mut self.fleet, self.hosts);
     }
 
--- a/crates/core/src/gate/load.rs
+++ b/crates/core/src/gate/load.rs
@@ -17,6 +17,8 @@
 /// Hosts up to which the beat is kept; with more it slows down in proportion, so
 /// that a host hears no more than 50 datagrams a second.
 const FEW: u32 = 10;
+/// Beats between two usage records.
+pub const RECORD_EVERY: u64 = 5;
 /// Beats after which a silent host is forgotten.
 const SILENT: u32 = 8;
 
@@ -49,6 +51,9 @@
     /// Runners on which it has anything.
     #[prost(message, repeated, tag = "3")]
     pub rows: Vec<Row>,
+    /// Its usage record, in some of its news.
+    #[prost(bytes = "vec", tag = "4")]
+    pub record: Vec<u8>,
 }
 
 /// Time between news among `hosts`.
@@ -126,5 +131,6 @@
         incarnation: me.0,
         number,
         rows: rows.collect(),
+        record: Vec::new(),
     }
 }
--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::tally::{Record, Window};
+use super::tally::{Ledger, Window};
 use crate::lease::Grant;
 use crate::store::{Answer, Call, Entry};
 use crate::time::Moment;
@@ -17,8 +17,9 @@
 pub const SEALED: &str = "radishstair/sealed/";
 /// Wait after a window's end for the hosts to publish their counts of it.
 const GRACE_MS: u64 = 1_200;
-/// Wait for a host whose counts are not whole, before it is left out.
-const LATE_MS: u64 = 4_500;
+/// Kept back from the time by which a report is due: sealing, sending and one
+/// repeat of each fit in.
+const SPARE_MS: u64 = 1_900;
 /// Windows behind the present one that a new holder still looks at; older ones
 /// are past the time by which a report is due.
 const BEHIND: u64 = 4;
@@ -56,13 +57,15 @@
     }
 }
 
-/// A host's record, and whether it lives.
-#[derive(Clone, Debug)]
-pub struct Host {
-    /// What it published.
-    pub record: Record,
-    /// Whether its record still changes.
-    pub alive: bool,
+plain! {
+    /// How windows are cut and when their reports are due.
+    #[derive(Copy)]
+    pub struct Plan {
+        /// Length of a window in seconds.
+        pub length_s: u64,
+        /// Seconds after its end by which the report must be there.
+        pub due_s: u64,
+    }
 }
 
 /// The reporter's progress.
@@ -95,27 +98,28 @@
         }
     }
 
-    /// Moves on while in charge; forgets what it reported when not.
+    /// Not in charge: what was reported is forgotten, what was sealed is not.
+    pub fn rest(&mut self) {
+        *self = Self {
+            sealed: std::mem::take(&mut self.sealed),
+            ..Self::default()
+        };
+    }
+
+    /// Moves on while in charge.
     pub fn tick(
         &mut self,
         now: Moment,
         civil_ms: u64,
-        length_s: u64,
-        grant: Option<Grant>,
-        hosts: &[Host],
+        plan: Plan,
+        grant: Grant,
+        ledger: &Ledger,
     ) -> Option<Step> {
-        let Some(grant) = grant else {
-            *self = Self {
-                sealed: std::mem::take(&mut self.sealed),
-                ..Self::default()
-            };
-            return None;
-        };
         self.give_up(now);
         if self.state != State::Idle || !now.reached(self.next) {
             return None;
         }
-        let length_ms = length_s * 1_000;
+        let length_ms = plan.length_s * 1_000;
         let present = civil_ms / length_ms.max(1);
         let first = present.saturating_sub(BEHIND);
         for number in first..present {
@@ -126,8 +130,13 @@
                 self.state = State::Reporting { since: now, number };
                 return Some(Step::Report(grant, window));
             }
-            let past_ms = civil_ms - (number + 1) * length_ms;
-            if let Some(window) = sum(number, (number + 1) * length_ms, past_ms, hosts) {
+            let end_ms = (number + 1) * length_ms;
+            let past_ms = civil_ms - end_ms;
+            let late = past_ms + SPARE_MS >= plan.due_s * 1_000;
+            if past_ms < GRACE_MS || !(late || is_whole(now, ledger, end_ms)) {
+                continue;
+            }
+            if let Some(window) = sum(now, ledger, number) {
                 return self.seal(now, window);
             }
         }
@@ -224,18 +233,22 @@
     }
 }
 
-/// The sum over all hosts, once all that live have published up to `end_ms`
-/// or have been waited for; none while it is too early or nothing was counted.
-fn sum(number: u64, end_ms: u64, past_ms: u64, hosts: &[Host]) -> Option<Window> {
-    let whole = |host: &Host| !host.alive || host.record.ended || host.record.until >= end_ms;
-    if past_ms < GRACE_MS || (past_ms < LATE_MS && !hosts.iter().all(whole)) {
-        return None;
-    }
+/// Whether all runs that live have told their counts up to `end_ms`.
+///
+/// A host that is cut off for some seconds comes back with counts; sealed too
+/// early, the window would lack them for good.
+fn is_whole(now: Moment, ledger: &Ledger, end_ms: u64) -> bool {
+    let mut alive = ledger.all(now).filter(|(_, alive)| *alive);
+    alive.all(|(record, _)| record.until >= end_ms)
+}
+
+/// The sum over all runs; none if nothing was counted.
+fn sum(now: Moment, ledger: &Ledger, number: u64) -> Option<Window> {
     let mut total = Window {
         number,
         ..Window::default()
     };
-    let windows = hosts.iter().flat_map(|host| &host.record.windows);
+    let windows = ledger.all(now).flat_map(|(record, _)| &record.windows);
     for window in windows.filter(|window| window.number == number) {
         for (customer, count) in &window.counts {
             total.add(customer, *count);
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -8,7 +8,6 @@
 
 use super::fleet::Fleet;
 use super::route::{Scaling, Table};
-use crate::lease::Grant;
 use crate::time::Moment;
 
 /// Dependable runners of a zone while reclaimable ones are there.
@@ -55,12 +54,8 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 
 impl Planner {
-    /// The next order to send while in charge; forgets all when not.
-    pub fn tick(&mut self, now: Moment, grant: Option<Grant>, table: &Table, fleet: &Fleet) -> Option<Order> {
-        if grant.is_none() {
-            *self = Self::default();
-            return None;
-        }
+    /// The next order to send, while in charge.
+    pub fn tick(&mut self, now: Moment, table: &Table, fleet: &Fleet) -> Option<Order> {
         if self.sending.is_some_and(|(since, _)| now.since(since) < PATIENCE) {
             return None;
         }
--- a/crates/core/src/gate/tally.rs
+++ b/crates/core/src/gate/tally.rs
@@ -1,10 +1,15 @@
 //! Requests that began to run, by usage window and customer.
 //!
-//! Each host publishes its counts as one record in the store, overwritten as
-//! they grow. A host that dies loses no more than it counted since its last
-//! record; one that comes back under its name adds to what stands there.
+//! Each run of a host publishes its counts as one record in the store,
+//! overwritten as they grow, and tells its peers the same more often. Counts of
+//! one run only grow, so of two copies the one that reaches further is right,
+//! and runs add up. A host that dies loses what it counted since its peers last
+//! heard of it.
+
+use std::time::Duration;
 
 use crate::id::Incarnation;
+use crate::time::Moment;
 
 /// Windows that a record keeps: enough for a reporter that takes over late.
 const KEPT: usize = 8;
@@ -34,10 +39,15 @@
 }
 
 record! {
-    /// What a host publishes of itself.
+    /// What a run of a host publishes of itself.
     pub struct Record {
-        /// Its run.
+        /// Its host.
+        pub host: String,
+        /// The run.
         pub incarnation: Incarnation,
+        /// Civil time in milliseconds at its start; a later run of the same
+        /// host tells that this one has ended.
+        pub began: u64,
         /// Address and port where peers reach it.
         pub peer: String,
         /// Civil time in milliseconds up to which its counts are whole.
@@ -50,6 +60,71 @@
     }
 }
 
+/// Records of all runs, as the store and the peers tell them.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    rows: Vec<Row>,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    record: Record,
+    changed: Moment,
+}
+
+/// Time after its last change for which a run counts as alive: its records come
+/// every half window, and one may be lost.
+const ALIVE: Duration = Duration::from_secs(8);
+/// Time after which a run that is gone is forgotten.
+const GONE: Duration = Duration::from_secs(60);
+
+impl Ledger {
+    /// Takes a record in, unless one that reaches further is known.
+    pub fn take(&mut self, now: Moment, record: Record) {
+        let found = self
+            .rows
+            .binary_search_by_key(&record.incarnation, |row| row.record.incarnation);
+        let row = Row { record, changed: now };
+        match found {
+            Ok(at) => {
+                let have = &self.rows[at].record;
+                if (row.record.until, row.record.ended) > (have.until, have.ended) {
+                    self.rows[at] = row;
+                }
+            }
+            Err(at) => self.rows.insert(at, row),
+        }
+    }
+
+    /// The store was away: silence in that time means nothing.
+    pub fn excuse(&mut self, now: Moment) {
+        for row in &mut self.rows {
+            row.changed = now;
+        }
+    }
+
+    /// All records, each with whether its run lives.
+    pub fn all(&self, now: Moment) -> impl Iterator<Item = (&Record, bool)> {
+        let alive = move |row: &Row| {
+            let record = &row.record;
+            !record.ended && now.since(row.changed) < ALIVE && !self.is_replaced(record)
+        };
+        self.rows.iter().map(move |row| (&row.record, alive(row)))
+    }
+
+    /// Takes out the runs that are long gone, and returns them.
+    pub fn forget(&mut self, now: Moment) -> Vec<Record> {
+        let gone = |row: &mut Row| now.since(row.changed) >= GONE;
+        self.rows.extract_if(.., gone).map(|row| row.record).collect()
+    }
+
+    /// Whether the host has started again since.
+    fn is_replaced(&self, record: &Record) -> bool {
+        let mut rows = self.rows.iter().map(|row| &row.record);
+        rows.any(|other| other.host == record.host && other.began > record.began)
+    }
+}
+
 /// Counts of this host.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
@@ -62,24 +137,9 @@
         self.window(window).add(customer, 1);
     }
 
-    /// Takes over what a former run under this name had published.
-    pub fn inherit(&mut self, record: &Record) {
-        for window in &record.windows {
-            for (customer, count) in &window.counts {
-                self.window(window.number).add(customer, *count);
-            }
-        }
-    }
-
-    /// The record to publish.
-    pub fn record(&self, incarnation: Incarnation, peer: &str, until: u64, ended: bool) -> Record {
-        Record {
-            incarnation,
-            peer: peer.to_string(),
-            until,
-            ended,
-            windows: self.windows.clone(),
-        }
+    /// The counts so far.
+    pub fn windows(&self) -> &[Window] {
+        &self.windows
     }
 
     fn window(&mut self, number: u64) -> &mut Window {
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use radishstair_core::gate::State;
 use radishstair_core::gate::civil::Civil;
+use radishstair_core::gate::tally::Record;
 use radishstair_core::id::Incarnation;
 use radishstair_core::time::Moment;
 
@@ -35,11 +36,16 @@
 pub mod stream;
 pub mod sync;
 
+/// Milliseconds before now of which the counts are not yet whole.
+const OPEN_MS: u64 = 30;
+
 /// Shared by all threads of the process.
 #[derive(Debug)]
 pub struct Shared {
     /// This process.
     pub me: Incarnation,
+    /// Civil time in milliseconds at its start.
+    pub began: u64,
     /// Clocks.
     pub clock: Clock,
     /// Counters.
@@ -60,15 +66,18 @@
     /// State of a process that has just started.
     pub fn new(settings: settings::Settings, dialect: Arc<dyn Dialect>) -> Arc<Self> {
         let state = State::new(settings.bounds.clone(), &settings.zone);
+        let clock = Clock::default();
+        let mut civil = Civil::default();
         Arc::new(Self {
             me: Incarnation(rand::random()),
-            clock: Clock::default(),
+            began: civil.now(clock.now()),
+            clock,
             metrics: Metrics::default(),
             dialect,
             settings: ArcSwap::from_pointee(settings),
             stopping: AtomicBool::new(false),
             state: Mutex::new(state),
-            civil: Mutex::default(),
+            civil: Mutex::new(civil),
             running: AtomicUsize::new(0),
             peers: ArcSwap::default(),
         })
@@ -106,6 +115,22 @@
         self.running.load(Ordering::SeqCst)
     }
 
+    /// What this run publishes of itself.
+    pub fn record(&self, ended: bool) -> Record {
+        let settings = self.settings.load();
+        let until = self.civil(self.now()).saturating_sub(OPEN_MS);
+        let state = self.state();
+        Record {
+            host: settings.host.clone(),
+            incarnation: self.me,
+            began: self.began,
+            peer: settings.peer_listen.to_string(),
+            until,
+            ended,
+            windows: state.tally.windows().to_vec(),
+        }
+    }
+
     /// Counts a customer's request that a runner began.
     pub fn count_start(&self, customer: Option<&str>) {
         let Some(customer) = customer else {
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use radishstair_core::gate::report::{self, Host, Reporter};
+use radishstair_core::gate::report::{self, Reporter};
 use radishstair_core::gate::supply::Planner;
 use radishstair_core::gate::tally::Record;
 use radishstair_core::lease::{Grant, Lease, Terms};
@@ -24,32 +24,18 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Longest wait for a write to the store.
 const WRITE: Duration = Duration::from_millis(800);
-/// Time after its last change for which a host counts as alive: its records
-/// come every half window, and one may be lost.
-const ALIVE: Duration = Duration::from_secs(8);
-/// Time after which the record of a host that is gone is removed.
-const GONE: Duration = Duration::from_secs(60);
-/// Civil time of which the counts are not yet whole.
-const OPEN_MS: u64 = 30;
 /// Wait after half a window before the record is written, so that the counts
 /// up to its end are whole.
 const SETTLE_MS: u64 = 120;
 /// Time over which the hosts' records are spread, so that they do not come at
 /// the store together.
 const SPREAD_MS: u64 = 400;
+/// A pause between two reads past which the silence of hosts means nothing.
+const AWAY: Duration = Duration::from_millis(2_500);
 /// A process does not seek the duty in its first seconds: its former run may
 /// have held it, and two changes of the holder within a lease are one too many.
 const SETTLED: Duration = Duration::from_secs(4);
 
-/// A host's record as last read.
-#[derive(Debug)]
-struct Known {
-    name: String,
-    version: u64,
-    changed: Moment,
-    record: Record,
-}
-
 /// State of the duties.
 #[derive(Debug)]
 pub struct Duty {
@@ -60,9 +46,10 @@
     lease: Lease,
     reporter: Reporter,
     planner: Planner,
-    hosts: Vec<Known>,
+    /// Revisions of the records in the store, by key.
+    versions: Vec<(String, u64)>,
     own_version: u64,
-    inherited: bool,
+    read: Option<Moment>,
     published: u64,
     holds: bool,
 }
@@ -79,9 +66,9 @@
             desk: Asker::default(),
             reporter: Reporter::default(),
             planner: Planner::default(),
-            hosts: Vec::new(),
+            versions: Vec::new(),
             own_version: 0,
-            inherited: false,
+            read: None,
             published: 0,
             holds: false,
         }
@@ -114,8 +101,8 @@
             self.publish(false).await;
         }
         let Some(grant) = self.grant() else {
-            let now = self.shared.now();
-            self.reporter.tick(now, 0, 1, None, &[]);
+            self.reporter.rest();
+            self.planner = Planner::default();
             return;
         };
         if self.shared.settings.load().duties.usage {
@@ -139,70 +126,41 @@
             .cloned()
             .collect();
         self.reporter.adopt(&sealed);
-        self.take_hosts(now, &own.entries);
+        self.take_hosts(&own);
     }
 
-    fn take_hosts(&mut self, now: Moment, entries: &[Entry]) {
+    fn take_hosts(&mut self, own: &Own) {
+        let now = self.shared.now();
         let prefix = format!("{PREFIX}host/");
-        let mut hosts = Vec::new();
-        for entry in entries {
-            let Some(name) = entry.key.strip_prefix(&prefix) else {
-                continue;
-            };
-            let Ok(record) = serde_json::from_str::<Record>(&entry.value) else {
-                tracing::warn!(
-                    event = "entry-not-read",
-                    key = entry.key,
-                    revision = entry.version
-                );
-                continue;
-            };
-            let before = self.hosts.iter().find(|known| known.name == name);
-            let changed = match before {
-                Some(known) if known.version == entry.version => known.changed,
-                _ => now,
-            };
-            hosts.push(Known {
-                name: name.to_string(),
-                version: entry.version,
-                changed,
-                record,
-            });
+        let mut state = self.shared.state();
+        if self.read.is_none_or(|last| own.sent.since(last) >= AWAY) {
+            state.ledger.excuse(now);
         }
-        let me = &self.shared.settings.load().host;
-        if let Some(own) = hosts.iter().find(|known| known.name == *me) {
-            let (version, record) = (own.version, own.record.clone());
-            self.take_own(version, &record);
-        } else {
-            self.inherited = true;
+        self.read = Some(own.sent);
+        self.versions.clear();
+        for entry in own.entries.iter().filter(|entry| entry.key.starts_with(&prefix)) {
+            self.versions.push((entry.key.clone(), entry.version));
+            match serde_json::from_str::<Record>(&entry.value) {
+                Ok(record) => state.ledger.take(now, record),
+                Err(err) => {
+                    tracing::warn!(event = "entry-not-read", key = entry.key, revision = entry.version, reason = %err);
+                }
+            }
         }
-        self.hosts = hosts;
-        let alive = self.hosts.iter().filter(|known| self.is_alive(now, known));
-        let peers: Vec<SocketAddr> = alive.filter_map(|known| known.record.peer.parse().ok()).collect();
-        self.shared.state().hosts = (peers.len() as u32).max(1);
+        let alive = state.ledger.all(now).filter(|(_, alive)| *alive);
+        let peers: Vec<SocketAddr> = alive.filter_map(|(record, _)| record.peer.parse().ok()).collect();
+        state.hosts = (peers.len() as u32).max(1);
+        drop(state);
         self.shared.peers.store(Arc::new(peers));
     }
 
-    /// Adds what a former run under this name had counted.
-    fn take_own(&mut self, version: u64, record: &Record) {
-        self.own_version = self.own_version.max(version);
-        if !self.inherited && record.incarnation != self.shared.me {
-            self.shared.state().tally.inherit(record);
-        }
-        self.inherited = true;
-    }
-
-    fn is_alive(&self, now: Moment, known: &Known) -> bool {
-        !known.record.ended && now.since(known.changed) < ALIVE
-    }
-
     fn grant(&self) -> Option<Grant> {
         self.lease.grant(self.shared.now())
     }
 
     async fn renew(&mut self) {
         let now = self.shared.now();
-        let candidate = now.since(self.began) >= SETTLED && self.inherited;
+        let candidate = now.since(self.began) >= SETTLED;
         let mut call = self.lease.tick(now, candidate);
         while let Some(next) = call {
             let (answer, _) = sync::ask(&self.shared, &self.store, &next, WRITE).await;
@@ -235,7 +193,7 @@
 
     /// Whether half a window has passed since the last record.
     fn is_due(&self) -> bool {
-        self.inherited && self.half() != self.published
+        self.read.is_some() && self.half() != self.published
     }
 
     fn half(&self) -> u64 {
@@ -246,20 +204,18 @@
         civil.saturating_sub(SETTLE_MS + spread) / half_ms
     }
 
+    fn own_key(&self) -> String {
+        let settings = self.shared.settings.load();
+        format!("{PREFIX}host/{}/{}", settings.host, self.shared.me)
+    }
+
     async fn publish(&mut self, ended: bool) {
-        let settings = self.shared.settings.load_full();
-        let until = self.shared.civil(self.shared.now()).saturating_sub(OPEN_MS);
         let half = self.half();
-        let peer = settings.peer_listen.to_string();
-        let record = {
-            let state = self.shared.state();
-            state.tally.record(self.shared.me, &peer, until, ended)
-        };
-        let Ok(value) = serde_json::to_string(&record) else {
+        let Ok(value) = serde_json::to_string(&self.shared.record(ended)) else {
             return;
         };
         let call = Call::Swap {
-            key: format!("{PREFIX}host/{}", settings.host),
+            key: self.own_key(),
             expect: self.own_version,
             value,
         };
@@ -268,10 +224,8 @@
                 self.own_version = version;
                 self.published = half;
             }
-            Answer::Conflict(entry) => {
-                // An earlier write whose answer was lost, or a former run.
-                self.own_version = entry.version;
-            }
+            // An earlier write whose answer was lost; the next tick repeats it.
+            Answer::Conflict(entry) => self.own_version = entry.version,
             Answer::Refused | Answer::Lost | Answer::Found(_) => {}
         }
     }
@@ -279,16 +233,14 @@
     async fn report(&mut self, grant: Grant) {
         let now = self.shared.now();
         let civil = self.shared.civil(now);
-        let length = self.shared.settings.load().bounds.usage_window_s;
-        let hosts: Vec<Host> = self
-            .hosts
-            .iter()
-            .map(|known| Host {
-                record: known.record.clone(),
-                alive: self.is_alive(now, known),
-            })
-            .collect();
-        let mut step = self.reporter.tick(now, civil, length, Some(grant), &hosts);
+        let mut step = {
+            let state = self.shared.state();
+            let plan = report::Plan {
+                length_s: state.bounds.usage_window_s,
+                due_s: state.bounds.usage_due_s,
+            };
+            self.reporter.tick(now, civil, plan, grant, &state.ledger)
+        };
         while let Some(next) = step {
             step = match next {
                 report::Step::Store(call) => {
@@ -325,7 +277,7 @@
             let Some(table) = state.table.clone() else {
                 return;
             };
-            self.planner.tick(now, Some(grant), &table, &state.fleet)
+            self.planner.tick(now, &table, &state.fleet)
         };
         let Some(order) = order else {
             return;
@@ -369,20 +321,19 @@
         status
     }
 
-    /// Removes the record of one host that is long gone.
+    /// Removes the records of runs that are long gone.
     async fn clean(&mut self) {
         let now = self.shared.now();
-        let gone = |known: &&Known| now.since(known.changed) >= GONE;
-        let Some(known) = self.hosts.iter().find(gone) else {
-            return;
-        };
-        let call = Call::Remove {
-            key: format!("{PREFIX}host/{}", known.name),
-            expect: known.version,
-        };
-        let name = known.name.clone();
-        let (answer, _) = sync::ask(&self.shared, &self.store, &call, WRITE).await;
-        tracing::info!(event = "host-forgotten", host = name, answer = ?answer);
-        self.hosts.retain(|known| known.name != name);
+        let gone = self.shared.state().ledger.forget(now);
+        for record in gone {
+            let key = format!("{PREFIX}host/{}/{}", record.host, record.incarnation);
+            let Some((_, version)) = self.versions.iter().find(|(have, _)| *have == key) else {
+                continue;
+            };
+            let expect = *version;
+            let call = Call::Remove { key, expect };
+            let (answer, _) = sync::ask(&self.shared, &self.store, &call, WRITE).await;
+            tracing::info!(event = "host-forgotten", host = record.host, incarnation = %record.incarnation, answer = ?answer);
+        }
     }
 }
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -22,15 +22,19 @@
     let mut idle = false;
     loop {
         number += 1;
-        let (news, pause) = {
+        let (mut news, pause) = {
             let state = shared.state();
             (
                 load::news(shared.me, number, &state.fleet),
                 load::beat(state.hosts),
             )
         };
+        if number % load::RECORD_EVERY == 0 {
+            // Writing text and numbers as JSON cannot fail.
+            news.record = serde_json::to_vec(&shared.record(false)).unwrap_or_default();
+        }
         // That nothing runs any more is said once.
-        if !news.rows.is_empty() || !idle {
+        if !news.rows.is_empty() || !news.record.is_empty() || !idle {
             idle = news.rows.is_empty();
             send(&shared, &socket, &news).await;
         }
