Dependable runners are ordered as soon as a zone loses its cheap ones

Change: a zone that lacks cheap runners gets dependable ones in their place, at most five, and gives them back when the cheap ones have been there for 5 s. Several orders may be sent in one step; a new number does not wait for the pause of the old one.

--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -1,24 +1,32 @@
 //! How many runners are ordered for each zone, dependable and reclaimable.
 //!
 //! Reclaimable runners cost a fraction and vanish by zone with seconds of
-//! notice. A few dependable ones carry the urgent work through such a minute;
-//! the rest are cheap, and more of them than would be paid for otherwise.
+//! notice. So most are cheap, and more of them than would be paid for
+//! otherwise; as soon as a zone loses its cheap ones, dependable ones are
+//! ordered in their place, and given back once the cheap ones have returned.
 
 use std::time::Duration;
 
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Stage};
 use super::route::{Scaling, Table};
 use crate::time::Moment;
 
-/// Dependable runners of a zone while reclaimable ones are there.
+/// Dependable runners of a zone while its reclaimable ones are there.
 const DEPENDABLE: u32 = 1;
 /// Reclaimable runners of a zone.
 const RECLAIMABLE: u32 = 6;
+/// Most dependable runners ordered in the place of reclaimable ones.
+const COVER: u32 = 5;
+/// How long a zone's reclaimable runners must be there before the dependable
+/// ones are given back: they are taken away in series on bad days.
+const HOLD: Duration = Duration::from_secs(5);
 /// Pause between two orders for the same thing that was refused or lost.
 const AGAIN: Duration = Duration::from_millis(1_500);
 /// Time after which an order that stands is said again: an order whose answer
 /// was lost may be carried out late, over a newer one.
 const RESTATE: Duration = Duration::from_secs(15);
+/// Wait for one answer before it counts as lost.
+const PATIENCE: Duration = Duration::from_secs(3);
 
 plain! {
     /// A number of runners of one kind.
@@ -35,6 +43,12 @@
     }
 }
 
+impl Order {
+    fn key(&self) -> (&str, &str, bool) {
+        (&self.service, &self.zone, self.reclaimable)
+    }
+}
+
 plain! {
     struct Target {
         order: Order,
@@ -43,24 +57,36 @@
     }
 }
 
+plain! {
+    /// Since when a zone's reclaimable runners are all there.
+    struct Zone {
+        service: String,
+        zone: String,
+        whole: Option<Moment>,
+    }
+}
+
 /// Orders that were sent, while in charge.
 #[derive(Debug, Default)]
 pub struct Planner {
     targets: Vec<Target>,
+    zones: Vec<Zone>,
     sending: Option<(Moment, usize)>,
 }
 
-/// Wait for one answer before it counts as lost.
-const PATIENCE: Duration = Duration::from_secs(3);
-
 impl Planner {
     /// The next order to send, while in charge.
     pub fn tick(&mut self, now: Moment, table: &Table, fleet: &Fleet) -> Option<Order> {
         if self.sending.is_some_and(|(since, _)| now.since(since) < PATIENCE) {
             return None;
         }
-        for order in wanted(table, fleet) {
-            self.want(order);
+        for service in table.services() {
+            let Some(scaling) = &service.scaling else {
+                continue;
+            };
+            for zone in scaling.prices.keys() {
+                self.plan(now, scaling, fleet, &service.name, zone);
+            }
         }
         let due = |target: &Target| {
             let changed = target.accepted != Some(target.order.count);
@@ -86,13 +112,64 @@
         }
     }
 
+    fn plan(&mut self, now: Moment, scaling: &Scaling, fleet: &Fleet, service: &str, zone: &str) {
+        if scaling.cheap.is_none() {
+            return;
+        }
+        let base = DEPENDABLE.max(scaling.least).min(scaling.most);
+        let cheap = RECLAIMABLE.min(scaling.most - base);
+        let there = ready(fleet, service, zone);
+        let missing = cheap.saturating_sub(there);
+        let cover = match self.is_whole(now, service, zone, missing) {
+            true => 0,
+            false => missing.max(1).min(COVER),
+        };
+        let dependable = (base + cover).min(scaling.most);
+        let order = |reclaimable, count| Order {
+            service: service.to_string(),
+            zone: zone.to_string(),
+            reclaimable,
+            count,
+        };
+        self.want(order(false, dependable));
+        self.want(order(true, cheap.min(scaling.most - dependable)));
+    }
+
+    /// Whether the zone's reclaimable runners have been there for long enough.
+    fn is_whole(&mut self, now: Moment, service: &str, zone: &str, missing: u32) -> bool {
+        let found = self
+            .zones
+            .iter()
+            .position(|have| have.service == service && have.zone == zone);
+        let at = found.unwrap_or_else(|| {
+            self.zones.push(Zone {
+                service: service.to_string(),
+                zone: zone.to_string(),
+                whole: None,
+            });
+            self.zones.len() - 1
+        });
+        let state = &mut self.zones[at];
+        state.whole = match missing {
+            0 => state.whole.or(Some(now)),
+            _ => None,
+        };
+        state.whole.is_some_and(|since| now.since(since) >= HOLD)
+    }
+
     fn want(&mut self, order: Order) {
-        let key = |order: &Order| (order.service.clone(), order.zone.clone(), order.reclaimable);
         let found = self
             .targets
-            .binary_search_by(|have| key(&have.order).cmp(&key(&order)));
+            .binary_search_by(|have| have.order.key().cmp(&order.key()));
         match found {
-            Ok(at) => self.targets[at].order = order,
+            Ok(at) => {
+                let target = &mut self.targets[at];
+                if target.order != order {
+                    // A new number need not wait for the pause of the old one.
+                    target.next = Moment::default();
+                    target.order = order;
+                }
+            }
             Err(at) => self.targets.insert(
                 at,
                 Target {
@@ -105,31 +182,15 @@
     }
 }
 
-fn wanted(table: &Table, fleet: &Fleet) -> Vec<Order> {
-    let mut orders = Vec::new();
-    for service in table.services() {
-        let Some(scaling) = &service.scaling else {
-            continue;
-        };
-        for zone in scaling.prices.keys() {
-            orders.extend(for_zone(scaling, fleet, &service.name, zone));
-        }
-    }
-    orders
-}
-
-fn for_zone(scaling: &Scaling, fleet: &Fleet, service: &str, zone: &str) -> Vec<Order> {
-    let _ = fleet;
-    let order = |reclaimable, count| Order {
-        service: service.to_string(),
-        zone: zone.to_string(),
-        reclaimable,
-        count,
-    };
-    if scaling.cheap.is_none() {
-        return Vec::new();
-    }
-    let dependable = DEPENDABLE.max(scaling.least).min(scaling.most);
-    let reclaimable = RECLAIMABLE.min(scaling.most - dependable);
-    vec![order(false, dependable), order(true, reclaimable)]
+/// Reclaimable runners of a zone that take new work.
+fn ready(fleet: &Fleet, service: &str, zone: &str) -> u32 {
+    let counted = fleet.all().filter(|(_, runner)| {
+        let listed = &runner.listed;
+        listed.service == service
+            && listed.zone == zone
+            && listed.reclaimable
+            && listed.stage == Stage::Ready
+            && runner.is_listed()
+    });
+    counted.count() as u32
 }
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -30,6 +30,8 @@
 /// Time over which the hosts' records are spread, so that they do not come at
 /// the store together.
 const SPREAD_MS: u64 = 400;
+/// Most orders of one step, so that the lease is renewed in time.
+const ORDERS: usize = 4;
 /// A pause between two reads past which the silence of hosts means nothing.
 const AWAY: Duration = Duration::from_millis(2_500);
 /// A process does not seek the duty in its first seconds: its former run may
@@ -109,7 +111,11 @@
             self.report(grant).await;
         }
         if self.shared.settings.load().duties.orders {
-            self.order(grant).await;
+            for _ in 0..ORDERS {
+                if !self.order(grant).await {
+                    break;
+                }
+            }
         }
         self.clean().await;
     }
@@ -270,17 +276,18 @@
         status == Some(StatusCode::OK.as_u16())
     }
 
-    async fn order(&mut self, grant: Grant) {
+    /// Sends one order; whether it was accepted.
+    async fn order(&mut self, grant: Grant) -> bool {
         let now = self.shared.now();
         let order = {
             let state = self.shared.state();
             let Some(table) = state.table.clone() else {
-                return;
+                return false;
             };
             self.planner.tick(now, &table, &state.fleet)
         };
         let Some(order) = order else {
-            return;
+            return false;
         };
         let host = self.shared.settings.load().host.clone();
         let request = self.shared.dialect.order(&host, grant.fence, &order);
@@ -296,6 +303,7 @@
         );
         let accepted = status == Some(StatusCode::OK.as_u16());
         self.planner.ordered(self.shared.now(), &order, accepted);
+        accepted
     }
 
     /// Sends under the duty; the status, if one came.
