An admission is made again when the document has changed before the send

The host of the only zone with one host was cut off from 1 s to 13 s; it admitted the request at 12.8 s by its old document, tried runners that it could not reach, and sent it at 13.1 s, when the cut had healed, the new document was in force and the proof fresh again. The look before the send asked for a fresh proof only, not for the admission's document.

Ruled out: a stale read (the document in force was the new one), a clock.

Change: the look before the send compares the document's revision and admits again by the newer one. Test first: an_admission_does_not_outlive_its_key.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -104,6 +104,8 @@
         pub keyed: bool,
         /// Version of the document that admitted it.
         pub version: u64,
+        /// The store's revision of that document.
+        pub revision: u64,
     }
 }
 
@@ -207,14 +209,37 @@
             rank: table.rank(route, customer, LAST_RANK),
             keyed: customer.is_some(),
             version: table.version,
+            revision: table.revision,
             route: route.clone(),
         })
     }
 
     /// Whether an admitted request may still be passed on; asked right before
     /// the write to the runner.
-    pub fn may_send(&self, now: Moment, admission: &Admission) -> bool {
-        !admission.keyed || self.is_fresh(now)
+    ///
+    /// A newer document may have come since the admission, after a cut even one
+    /// that is seconds newer. Its proof would cover an admission by a withdrawn
+    /// key, so the admission is made again by the newer document.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets.
+    pub fn may_send(&self, now: Moment, admission: &Admission, ask: &Ask<'_>) -> Result<(), Refusal> {
+        if admission.keyed && !self.is_fresh(now) {
+            return Err(Refusal::new(Kind::Stale));
+        }
+        let current = self.table.as_ref().map(|table| table.revision);
+        if current == Some(admission.revision) {
+            return Ok(());
+        }
+        let again = self.admit(now, ask)?;
+        let still = again.customer == admission.customer
+            && again.route.name == admission.route.name
+            && again.route.has(&admission.service);
+        match still {
+            true => Ok(()),
+            false => Err(Refusal::new(Kind::Stale).detail("the configuration has just changed")),
+        }
     }
 
     /// Chooses a runner and counts the request there.
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -75,7 +75,7 @@
 impl Demand {
     /// The deepest part that other requests are likely to share.
     pub fn subject(&self) -> Option<Part> {
-        let at = self.parts.len().checked_sub(2).unwrap_or_default();
+        let at = self.parts.len().saturating_sub(2);
         self.parts.get(at).copied()
     }
 
--- a/crates/core/src/gate/route.rs
+++ b/crates/core/src/gate/route.rs
@@ -68,6 +68,13 @@
 }
 
 impl Route {
+    /// Whether a service runs some of it.
+    pub fn has(&self, service: &str) -> bool {
+        self.shares
+            .iter()
+            .any(|share| share.service == service && share.weight > 0)
+    }
+
     /// Service of one request, by its draw.
     pub fn service(&self, draw: u64) -> &str {
         let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -122,7 +122,7 @@
         let missing = cheap.saturating_sub(there);
         let cover = match self.is_whole(now, service, zone, missing) {
             true => 0,
-            false => missing.max(1).min(COVER),
+            false => missing.clamp(1, COVER),
         };
         let dependable = (base + cover).min(scaling.most);
         let order = |reclaimable, count| Order {
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -13,8 +13,8 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::gate::Admission;
 use radishstair_core::gate::route::Limits;
-use radishstair_core::gate::{Admission, Ask};
 use radishstair_core::time::Moment;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -22,7 +22,7 @@
 
 use super::Shared;
 use super::dialect::Head;
-use super::forward::{Forwarder, Job, Tries, come_back};
+use super::forward::{Forwarder, Job, Tries, ask, come_back};
 use super::reply::{self, Body};
 
 /// Longest time for a body to come where the caller names no deadline.
@@ -182,20 +182,14 @@
 }
 
 fn admit(shared: &Shared, parts: &request::Parts, head: &Head) -> Result<Admission, Refusal> {
-    let host = parts.headers.get(hyper::header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let ask = Ask {
-        host,
-        path: parts.uri.path(),
-        key: head.key.as_deref(),
-        draw: rand::random(),
-    };
     let now = shared.now();
     let mut state = shared.state();
-    let admission = state.admit(now, &ask).map_err(|refusal| match refusal.kind {
-        Kind::Stale => refusal.after(come_back(head.deadline, rand::random())),
-        _ => refusal,
-    })?;
+    let admission = state
+        .admit(now, &ask(parts, head))
+        .map_err(|refusal| match refusal.kind {
+            Kind::Stale => refusal.after(come_back(head.deadline, rand::random())),
+            _ => refusal,
+        })?;
     state.budgets.count(now, &admission.service);
     Ok(admission)
 }
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -10,14 +10,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_ENCODING;
+use hyper::header::{CONTENT_ENCODING, HOST};
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
-use radishstair_core::gate::Admission;
 use radishstair_core::gate::fleet::{Key, Sign};
 use radishstair_core::gate::place::Demand;
 use radishstair_core::gate::route::Mode;
+use radishstair_core::gate::{Admission, Ask};
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
@@ -71,6 +71,11 @@
         matches!(self.admission.route.mode, Mode::Stream { .. })
     }
 
+    /// What was asked, for a second look at the document.
+    pub fn ask(&self) -> Ask<'_> {
+        ask(&self.parts, &self.head)
+    }
+
     fn demand(&self, draw: u64) -> Demand {
         Demand {
             service: self.admission.service.clone(),
@@ -82,6 +87,17 @@
     }
 }
 
+/// What a head asks of the document.
+pub fn ask<'a>(parts: &'a request::Parts, head: &'a Head) -> Ask<'a> {
+    let host = parts.headers.get(HOST);
+    Ask {
+        host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+        path: parts.uri.path(),
+        key: head.key.as_deref(),
+        draw: rand::random(),
+    }
+}
+
 /// What one request has tried.
 #[derive(Debug, Default)]
 pub struct Tries {
@@ -144,7 +160,7 @@
     NotRun,
     Broken,
     Late,
-    Stale,
+    Refused(Refusal),
 }
 
 /// Passes requests on.
@@ -229,7 +245,8 @@
                 Attempt::Late => {
                     return Err(self.over(job, tries));
                 }
-                Attempt::Stale => return Err(self.refusal(job, tries, Kind::Stale)),
+                Attempt::Refused(_) if tries.ran => return Err(self.failed(job)),
+                Attempt::Refused(refusal) => return Err(self.timed(job, refusal)),
             }
         }
     }
@@ -278,8 +295,9 @@
         if job.is_over(now) {
             return Attempt::Late;
         }
-        if !self.shared.state().may_send(now, &job.admission) {
-            return Attempt::Stale;
+        let allowed = self.shared.state().may_send(now, &job.admission, &job.ask());
+        if let Err(refusal) = allowed {
+            return Attempt::Refused(refusal);
         }
         if !self.is_listed(&slot) {
             return Attempt::Unreachable;
@@ -434,8 +452,13 @@
         if tries.ran {
             return self.failed(job);
         }
+        self.timed(job, Refusal::new(kind))
+    }
+
+    /// Tells when to come back.
+    fn timed(&self, job: &Job, refusal: Refusal) -> Refusal {
         let left = job.left(self.shared.now());
-        Refusal::new(kind).after(come_back(left, rand::random()))
+        refusal.after(come_back(left, rand::random()))
     }
 }
 
--- /dev/null
+++ b/tests/suite/gate.rs
@@ -0,0 +1,4 @@
+//! Decisions of the opaque front, without sockets.
+
+mod build;
+mod freshness;
--- /dev/null
+++ b/tests/suite/gate/build.rs
@@ -0,0 +1,114 @@
+//! A small document, fleet and state to decide on.
+
+use std::time::Duration;
+
+use radishstair_core::gate::fleet::{Listed, Stage};
+use radishstair_core::gate::route::{Customer, Engine, Limits, Mode, Route, Service, Share, Table};
+use radishstair_core::gate::{Ask, Bounds, State};
+use radishstair_core::time::Moment;
+
+/// The bounds of the users' sites.
+pub fn bounds() -> Bounds {
+    Bounds {
+        revocation_ms: 5_000,
+        repeat_ratio: 0.2,
+        repeat_slack: 56.0,
+        repeat_window_s: 10,
+        lease_ms: 3_000,
+        usage_window_s: 5,
+        usage_due_s: 10,
+        grace_s: 8,
+    }
+}
+
+/// A route of host `books.example` to one service.
+pub fn route(name: &str, prefix: &str, mode: Mode, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "books.example".into(),
+        prefix: prefix.into(),
+        mode,
+        timeout: Some(Duration::from_secs(15)),
+        attempts: 2,
+        target: Some(Duration::from_millis(800)),
+        gap: None,
+        priority: 1,
+        public: false,
+        shares: vec![Share {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+/// A service; with an engine if `slots` is given.
+pub fn service(name: &str, slots: Option<u32>) -> Service {
+    Service {
+        name: name.into(),
+        connections: 240,
+        engine: slots.map(|slots| Engine {
+            slots,
+            tokens: 480_000,
+        }),
+        scaling: None,
+    }
+}
+
+/// A customer with some keys.
+pub fn customer(name: &str, keys: &[&str]) -> Customer {
+    Customer {
+        name: name.into(),
+        keys: keys.iter().map(ToString::to_string).collect(),
+        priority: None,
+    }
+}
+
+/// A document with the two usual routes, for these customers.
+pub fn table(revision: u64, customers: Vec<Customer>) -> Table {
+    let routes = vec![
+        route("notes", "/notes/", Mode::Stream { resumable: true }, "engines"),
+        route("entries", "/entries/", Mode::Once, "ledger"),
+    ];
+    let services = vec![service("engines", Some(32)), service("ledger", None)];
+    Table::new(
+        revision,
+        revision,
+        routes,
+        services,
+        Some(customers),
+        Limits::default(),
+    )
+}
+
+/// A listed runner.
+pub fn runner(id: &str, service: &str, zone: &str) -> Listed {
+    let port = 1_000 + (radishstair_core::id::digest(id.as_bytes()) % 50_000) as u16;
+    Listed {
+        id: id.into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.into(),
+        stage: Stage::Ready,
+        slots: 32,
+        reclaimable: false,
+        born: 1,
+    }
+}
+
+/// A host with a document known to be the newest at `now`.
+pub fn state(now: Moment, customers: Vec<Customer>) -> State {
+    let mut state = State::new(bounds(), "zone-a");
+    state.configure(table(1, customers));
+    state.proof.renew(now);
+    state
+}
+
+/// A request for the stream route with a key.
+pub fn ask(key: &str) -> Ask<'_> {
+    Ask {
+        host: "books.example",
+        path: "/notes/1",
+        key: Some(key),
+        draw: 0,
+    }
+}
