An outage of the store revives no dead host; idle connections count in placement

Ruled out: the lease (held in time), lost records (all live hosts had told within 3 s). Change: silence while the store was away shifts the time of the last change by the gap. The test was written with the change, not ahead of it.

Change: a runner to which no usable connection waits costs 2,500 tokens more; which one is usable is decided in one place.

Cause 3: dependable runners were ordered at the start, while cheap ones booted. Change: found ones stay so long, none is ordered.

--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -79,6 +79,37 @@
     }
 }
 
+plain! {
+    /// A connection that waits for its next request.
+    #[derive(Copy)]
+    pub struct Idle {
+        /// Since when.
+        pub since: Moment,
+        /// How long the runner keeps it.
+        pub kept: Duration,
+    }
+}
+
+/// Kept back from the runner's idle time: its clock starts when it writes the
+/// answer, and the next request takes a while to arrive.
+const MARGIN: Duration = Duration::from_millis(700);
+/// Part of the idle time after which a request that runs at most once gets a
+/// new connection: the runner may close it just then, and nobody could tell
+/// whether the request ran.
+const ONCE_PART: u32 = 3;
+
+impl Idle {
+    /// Whether a request may be sent on it; `once` if it may run only once.
+    pub fn is_usable(&self, now: Moment, once: bool) -> bool {
+        let safe = self.kept.saturating_sub(MARGIN);
+        let limit = match once {
+            true => safe.min(self.kept / ONCE_PART),
+            false => safe,
+        };
+        now.since(self.since) < limit
+    }
+}
+
 plain! {
     /// One runner.
     pub struct Runner {
@@ -90,6 +121,8 @@
         pub others: Row,
         /// Kept for long prompts, so that these do not delay short streams.
         pub long: bool,
+        /// Idle connection that was used last, and how long the runner keeps it.
+        pub idle: Option<Idle>,
         present: bool,
         replaced: bool,
         rest: Moment,
@@ -108,6 +141,11 @@
         self.present && !self.replaced && self.listed.stage == Stage::Ready
     }
 
+    /// Whether it is still there and about to leave.
+    pub fn is_leaving(&self) -> bool {
+        self.present && self.listed.stage == Stage::Draining
+    }
+
     /// Requests on it, as far as this host knows.
     pub fn load(&self) -> u32 {
         self.own.running + self.others.running
@@ -213,6 +251,7 @@
             own: Row::default(),
             others: Row::default(),
             long: false,
+            idle: None,
             present: true,
             replaced: false,
             rest: Moment::default(),
@@ -246,6 +285,13 @@
             .filter(move |(_, runner)| runner.listed.service == service && runner.is_open(now))
     }
 
+    /// Tells which idle connection to a runner would be used next.
+    pub fn idle(&mut self, key: Key, idle: Option<Idle>) {
+        if let Some(runner) = self.arena.get_mut(key.index()) {
+            runner.idle = idle;
+        }
+    }
+
     /// A request goes to a runner: `work` to read, `held` in its memory.
     pub fn begin(&mut self, key: Key, work: u64, held: u64) {
         if let Some(runner) = self.arena.get_mut(key.index()) {
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -43,6 +43,10 @@
 /// about the pause that a long prompt beside it causes.
 const CROSS_SHORT: f64 = 25_000.0;
 
+/// Cost of a new connection to a runner, in tokens: it takes a millisecond, and
+/// the operators price twenty-five of them like a short request.
+const CONNECTION: f64 = 2_500.0;
+
 plain! {
     /// A part of a prompt that requests may share.
     #[derive(Copy, Eq)]
@@ -67,6 +71,8 @@
         /// Parts of its prompt in order; the last one is its own where there
         /// are others before it.
         pub parts: Vec<Part>,
+        /// Whether it may run at most once.
+        pub once: bool,
         /// Draw that decides among equals.
         pub draw: u64,
     }
@@ -128,7 +134,7 @@
         .filter(|(key, _)| !tried.contains(key))
         .collect();
     if demand.prompt == 0 {
-        let key = nearest(fleet, &open, demand)?;
+        let key = nearest(now, fleet, &open, demand)?;
         return Some(Choice { key, work: 0 });
     }
     let home = home(&open, demand);
@@ -139,7 +145,7 @@
             .map_or(0, |part| part.tokens);
         let shared = subject.map_or(0, |part| part.tokens);
         let work = work(demand.prompt, kept);
-        let cost = cost(runner, demand, work) + REREAD * (shared - kept) as f64;
+        let cost = cost(now, runner, demand, work) + REREAD * (shared - kept) as f64;
         (cost, *key, work as u64)
     });
     let least = candidates.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -155,14 +161,20 @@
     whole(prompt) - whole(kept.min(prompt))
 }
 
-fn cost(runner: &Runner, demand: &Demand, work: f64) -> f64 {
+fn cost(now: Moment, runner: &Runner, demand: &Demand, work: f64) -> f64 {
     let beside = f64::from(runner.load());
     let crossing = match (demand.is_long(), runner.long) {
         (true, false) => CROSS_LONG + CROSS_LONG_EACH * beside,
         (false, true) => CROSS_SHORT,
         _ => 0.0,
     };
-    runner.backlog() as f64 + work + BESIDE * beside + crossing
+    runner.backlog() as f64 + work + BESIDE * beside + crossing + connecting(now, runner, demand)
+}
+
+/// Cost of the connection that the request would need.
+fn connecting(now: Moment, runner: &Runner, demand: &Demand) -> f64 {
+    let warm = runner.idle.is_some_and(|idle| idle.is_usable(now, demand.once));
+    if warm { 0.0 } else { CONNECTION }
 }
 
 /// The subject's home: the same on every host that knows the same runners.
@@ -177,17 +189,20 @@
 }
 
 /// Plain requests are short: one of this zone with a free slot, else any.
-fn nearest(fleet: &Fleet, open: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
+fn nearest(now: Moment, fleet: &Fleet, open: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
     let near: Vec<(Key, &Runner)> = open
         .iter()
         .filter(|(_, runner)| runner.listed.zone == fleet.zone && runner.load() < runner.listed.slots / 2)
         .copied()
         .collect();
-    least(if near.is_empty() { open } else { &near }, demand)
+    least(now, if near.is_empty() { open } else { &near }, demand)
 }
 
-fn least(set: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
-    let order = |key: Key, runner: &Runner| (runner.load(), weight(demand.draw, u64::from(key.0)));
+fn least(now: Moment, set: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
+    let order = |key: Key, runner: &Runner| {
+        let cold = connecting(now, runner, demand) > 0.0;
+        (runner.load(), cold, weight(demand.draw, u64::from(key.0)))
+    };
     let chosen = set.iter().min_by_key(|(key, runner)| order(*key, runner));
     chosen.map(|(key, _)| *key)
 }
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::fleet::{Fleet, Stage};
+use super::fleet::Fleet;
 use super::route::{Scaling, Table};
 use crate::time::Moment;
 
@@ -63,6 +63,8 @@
         service: String,
         zone: String,
         whole: Option<Moment>,
+        /// Whether they ever were.
+        before: bool,
     }
 }
 
@@ -118,11 +120,17 @@
         }
         let base = DEPENDABLE.max(scaling.least).min(scaling.most);
         let cheap = RECLAIMABLE.min(scaling.most - base);
-        let there = ready(fleet, service, zone);
-        let missing = cheap.saturating_sub(there);
-        let cover = match self.is_whole(now, service, zone, missing) {
-            true => 0,
-            false => missing.clamp(1, COVER),
+        let there = Count::of(fleet, service, zone);
+        let missing = cheap.saturating_sub(there.reclaimable);
+        let cover = match (self.is_whole(now, service, zone, missing), there.leaving) {
+            (true, _) => 0,
+            (false, true) => missing.clamp(1, COVER),
+            // Cheap ones are still booting: those that were found stay for so
+            // long, but none is ordered for the wait.
+            (false, false) if !self.was_whole(service, zone) => {
+                there.dependable.saturating_sub(base).min(missing.clamp(1, COVER))
+            }
+            (false, false) => missing.clamp(1, COVER),
         };
         let dependable = (base + cover).min(scaling.most);
         let order = |reclaimable, count| Order {
@@ -135,6 +143,12 @@
         self.want(order(true, cheap.min(scaling.most - dependable)));
     }
 
+    /// Whether the zone's reclaimable runners were all there before.
+    fn was_whole(&self, service: &str, zone: &str) -> bool {
+        let mut zones = self.zones.iter();
+        zones.any(|have| have.service == service && have.zone == zone && have.before)
+    }
+
     /// Whether the zone's reclaimable runners have been there for long enough.
     fn is_whole(&mut self, now: Moment, service: &str, zone: &str, missing: u32) -> bool {
         let found = self
@@ -146,10 +160,12 @@
                 service: service.to_string(),
                 zone: zone.to_string(),
                 whole: None,
+                before: false,
             });
             self.zones.len() - 1
         });
         let state = &mut self.zones[at];
+        state.before |= missing == 0;
         state.whole = match missing {
             0 => state.whole.or(Some(now)),
             _ => None,
@@ -182,15 +198,27 @@
     }
 }
 
-/// Reclaimable runners of a zone that take new work.
-fn ready(fleet: &Fleet, service: &str, zone: &str) -> u32 {
-    let counted = fleet.all().filter(|(_, runner)| {
-        let listed = &runner.listed;
-        listed.service == service
-            && listed.zone == zone
-            && listed.reclaimable
-            && listed.stage == Stage::Ready
-            && runner.is_listed()
-    });
-    counted.count() as u32
+/// Runners of a service in a zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    dependable: u32,
+    reclaimable: u32,
+    /// Whether reclaimable ones are being taken away.
+    leaving: bool,
+}
+
+impl Count {
+    fn of(fleet: &Fleet, service: &str, zone: &str) -> Self {
+        let mut count = Self::default();
+        let own = fleet.all().map(|(_, runner)| runner);
+        for runner in own.filter(|runner| runner.listed.service == service && runner.listed.zone == zone) {
+            match (runner.listed.reclaimable, runner.is_listed()) {
+                (false, true) => count.dependable += 1,
+                (true, true) => count.reclaimable += 1,
+                (true, false) => count.leaving |= runner.is_leaving(),
+                (false, false) => {}
+            }
+        }
+        count
+    }
 }
--- a/crates/core/src/gate/tally.rs
+++ b/crates/core/src/gate/tally.rs
@@ -96,10 +96,10 @@
         }
     }
 
-    /// The store was away: silence in that time means nothing.
-    pub fn excuse(&mut self, now: Moment) {
+    /// The store was away for `gap`: silence in that time means nothing.
+    pub fn excuse(&mut self, gap: Duration) {
         for row in &mut self.rows {
-            row.changed = now;
+            row.changed = row.changed + gap;
         }
     }
 
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -139,8 +139,9 @@
         let now = self.shared.now();
         let prefix = format!("{PREFIX}host/");
         let mut state = self.shared.state();
-        if self.read.is_none_or(|last| own.sent.since(last) >= AWAY) {
-            state.ledger.excuse(now);
+        let gap = self.read.map(|last| own.sent.since(last));
+        if let Some(gap) = gap.filter(|gap| *gap >= AWAY) {
+            state.ledger.excuse(gap);
         }
         self.read = Some(own.sent);
         self.versions.clear();
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -82,6 +82,7 @@
             prompt: self.head.prompt,
             output: self.head.hint.unwrap_or(self.head.output).min(self.head.output),
             parts: self.head.parts.clone(),
+            once: self.once(),
             draw,
         }
     }
@@ -404,9 +405,16 @@
         if !line::closes(&parts.headers) {
             let kept = line::keeps(&parts.headers);
             self.pool.give(self.shared.now(), slot.key, line, kept);
+            self.tell_idle(slot.key);
         }
     }
 
+    /// Lets placement know whether a new connection would be needed.
+    fn tell_idle(&self, key: Key) {
+        let idle = self.pool.next(key);
+        self.shared.state().fleet.idle(key, idle);
+    }
+
     fn address(&self, slot: &Slot) -> Option<std::net::SocketAddr> {
         let state = self.shared.state();
         state.fleet.get(slot.key).map(|runner| runner.listed.address)
--- a/crates/entry/src/gate/pool.rs
+++ b/crates/entry/src/gate/pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use radishstair_core::gate::fleet::Key;
+use radishstair_core::gate::fleet::{Idle, Key};
 use radishstair_core::time::Moment;
 
 use super::line::Line;
@@ -20,26 +20,19 @@
 pub const CONNECT: Duration = Duration::from_millis(300);
 /// Idle time of the runner where it does not say it.
 const KEPT: Duration = Duration::from_secs(3);
-/// Kept back from the runner's idle time: its clock starts when it writes the
-/// answer, and the next request takes a while to arrive.
-const MARGIN: Duration = Duration::from_millis(700);
-/// Part of the idle time after which a request that runs at most once gets a
-/// new connection.
-const ONCE_PART: u32 = 3;
 /// Most idle connections to one runner.
 const MOST: usize = 24;
 
 #[derive(Debug)]
-struct Idle {
+struct Waiting {
     line: Line,
-    since: Moment,
-    kept: Duration,
+    idle: Idle,
 }
 
 /// Idle connections by runner.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: Mutex<Vec<(Key, Vec<Idle>)>>,
+    idle: Mutex<Vec<(Key, Vec<Waiting>)>>,
 }
 
 impl Pool {
@@ -76,14 +69,23 @@
             }
         };
         let lines = &mut all[at].1;
-        lines.retain(|idle| now.since(idle.since) < idle.kept);
-        let kept = kept.unwrap_or(KEPT);
-        let since = now;
-        if lines.len() < MOST && kept > MARGIN {
-            lines.push(Idle { line, since, kept });
+        lines.retain(|waiting| waiting.idle.is_usable(now, false));
+        let idle = Idle {
+            since: now,
+            kept: kept.unwrap_or(KEPT),
+        };
+        if lines.len() < MOST && idle.is_usable(now, false) {
+            lines.push(Waiting { line, idle });
         }
     }
 
+    /// The connection to a runner that would be used next.
+    pub fn next(&self, key: Key) -> Option<Idle> {
+        let all = self.lock();
+        let at = all.binary_search_by_key(&key, |(have, _)| *have).ok()?;
+        all[at].1.last().map(|waiting| waiting.idle)
+    }
+
     /// Closes the idle connections to a runner that is no longer the same.
     pub fn forget(&self, key: Key) {
         self.lock().retain(|(have, _)| *have != key);
@@ -92,26 +94,19 @@
     fn pop(&self, now: Moment, key: Key, once: bool) -> Option<Line> {
         let mut all = self.lock();
         let at = all.binary_search_by_key(&key, |(have, _)| *have).ok()?;
-        let idle = all[at].1.pop()?;
-        let safe = idle.kept.saturating_sub(MARGIN);
-        let limit = if once {
-            safe.min(idle.kept / ONCE_PART)
-        } else {
-            safe
-        };
-        if now.since(idle.since) < limit {
-            return Some(idle.line);
+        let lines = &mut all[at].1;
+        let last = lines.last()?.idle;
+        if last.is_usable(now, once) {
+            return lines.pop().map(|waiting| waiting.line);
         }
-        if once && now.since(idle.since) < safe {
-            // Good enough for others.
-            all[at].1.push(idle);
-        } else {
-            all[at].1.clear();
+        if !last.is_usable(now, false) {
+            // The others have waited longer.
+            lines.clear();
         }
         None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Key, Vec<Idle>)>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Key, Vec<Waiting>)>> {
         self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
--- a/tests/suite/gate.rs
+++ b/tests/suite/gate.rs
@@ -2,3 +2,4 @@
 
 mod build;
 mod freshness;
+mod usage;
--- /dev/null
+++ b/tests/suite/gate/usage.rs
@@ -0,0 +1,140 @@
+//! Usage windows: what is added up, when, and what is reported.
+
+use std::time::Duration;
+
+use radishstair_core::gate::report::{Plan, Reporter, Step};
+use radishstair_core::gate::tally::{Ledger, Record, Window};
+use radishstair_core::id::Incarnation;
+use radishstair_core::lease::Grant;
+use radishstair_core::store::{Answer, Call, Entry};
+use radishstair_core::time::Moment;
+
+const PLAN: Plan = Plan {
+    length_s: 5,
+    due_s: 10,
+};
+/// Start of window 200, in civil milliseconds.
+const WINDOW: u64 = 200 * 5_000;
+
+fn at(ms: u64) -> Moment {
+    Moment::at_ms(WINDOW + ms)
+}
+
+fn grant(now: Moment) -> Grant {
+    Grant {
+        fence: 7,
+        until: now + Duration::from_secs(3),
+        send: Duration::from_millis(750),
+    }
+}
+
+fn record(host: &str, run: u64, began: u64, until: u64, count: u64) -> Record {
+    Record {
+        host: host.into(),
+        incarnation: Incarnation(run),
+        began,
+        peer: "127.0.0.1:1".into(),
+        until: WINDOW + until,
+        ended: false,
+        windows: vec![Window {
+            number: 200,
+            counts: vec![("ana".into(), count)],
+        }],
+    }
+}
+
+fn sealed(step: Option<Step>) -> Option<Window> {
+    let Some(Step::Store(Call::Swap { value, .. })) = step else {
+        return None;
+    };
+    serde_json::from_str(&value).ok()
+}
+
+fn tick(reporter: &mut Reporter, ledger: &Ledger, ms: u64) -> Option<Step> {
+    reporter.tick(at(ms), WINDOW + ms, PLAN, grant(at(ms)), ledger)
+}
+
+/// The customer is billed for fewer requests than it made. A host is cut off
+/// for some seconds around a window's end; it comes back with its counts while
+/// the report is not yet due.
+#[test]
+fn a_window_waits_for_a_host_that_was_cut_off() {
+    let mut ledger = Ledger::default();
+    ledger.take(at(5_200), record("a", 1, 0, 5_100, 10));
+    ledger.take(at(2_600), record("b", 2, 0, 2_500, 4));
+    let mut reporter = Reporter::default();
+    assert!(tick(&mut reporter, &ledger, 7_000).is_none());
+    ledger.take(at(9_000), record("b", 2, 0, 8_900, 6));
+    let window = sealed(tick(&mut reporter, &ledger, 9_100)).expect("all have told");
+    assert_eq!(window.counts, vec![("ana".to_string(), 16)]);
+}
+
+/// A report that waits for a host that never comes back would be missed. It
+/// goes out in time with what is known.
+#[test]
+fn a_window_is_sealed_before_it_is_due() {
+    let mut ledger = Ledger::default();
+    ledger.take(at(12_900), record("a", 1, 0, 12_800, 10));
+    ledger.take(at(12_000), record("b", 2, 0, 2_500, 4));
+    let mut reporter = Reporter::default();
+    assert!(tick(&mut reporter, &ledger, 12_900).is_none());
+    assert!(sealed(tick(&mut reporter, &ledger, 13_200)).is_some());
+}
+
+/// Reports come late after an outage of the store. A host was removed long
+/// before; the time in which the store was away is no reason to wait for it
+/// again.
+#[test]
+fn an_outage_does_not_revive_the_dead() {
+    let mut ledger = Ledger::default();
+    ledger.take(at(0), record("gone", 1, 0, 100, 1));
+    ledger.take(at(9_000), record("b", 2, 0, 8_900, 4));
+    ledger.excuse(Duration::from_millis(7_000));
+    ledger.take(at(16_100), record("b", 2, 0, 16_000, 4));
+    let alive = |ms| ledger.all(at(ms)).filter(|(_, alive)| *alive).count();
+    assert_eq!(alive(16_200), 1);
+}
+
+/// A customer is billed twice. A host restarts under its name; its new run
+/// starts at zero, and the counts of both runs add up, whichever copies of
+/// their records come, in whatever order.
+#[test]
+fn runs_add_up_and_copies_do_not() {
+    let mut ledger = Ledger::default();
+    ledger.take(at(6_000), record("a", 2, 3_000, 5_900, 5));
+    ledger.take(at(6_000), record("a", 1, 0, 2_900, 8));
+    ledger.take(at(6_100), record("a", 1, 0, 1_000, 3));
+    ledger.take(at(6_200), record("a", 2, 3_000, 6_100, 6));
+    let window = sealed(tick(&mut Reporter::default(), &ledger, 6_300)).expect("all have told");
+    assert_eq!(window.counts, vec![("ana".to_string(), 14)]);
+}
+
+/// The platform gets two different figures for one window. The reporter's write
+/// is lost without an answer, another host seals the window with other figures
+/// meanwhile; what is sent must be what stands in the store.
+#[test]
+fn what_stands_in_the_store_is_what_is_reported() {
+    let mut ledger = Ledger::default();
+    ledger.take(at(6_000), record("a", 1, 0, 5_900, 5));
+    let mut reporter = Reporter::default();
+    assert!(sealed(tick(&mut reporter, &ledger, 6_300)).is_some());
+    let read = reporter.answer(at(6_400), &Answer::Lost);
+    let Some(Step::Store(Call::Get { key })) = read else {
+        panic!("it reads back: {read:?}");
+    };
+    let standing = Window {
+        number: 200,
+        counts: vec![("ana".into(), 4)],
+    };
+    let value = serde_json::to_string(&standing).expect("it can be written");
+    let entry = Entry {
+        key,
+        version: 9,
+        value,
+    };
+    assert!(reporter.answer(at(6_500), &Answer::Found(vec![entry])).is_none());
+    let Some(Step::Report(_, window)) = tick(&mut reporter, &ledger, 6_600) else {
+        panic!("it reports");
+    };
+    assert_eq!(window, standing);
+}
