Dependable runners are ordered by the flow of work, in the cheapest zones first

Ruled out: fewer cheap runners (tried at eight, worse; six is kept).

Change: hosts tell each other the prompt work a second that they send to each service; the holder orders what the highest flow of 8 s needs beyond the cheap ones that are there, at 22,000 tokens a second each.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -26,7 +26,7 @@
 
 use budget::Budgets;
 use fleet::{Fleet, Key};
-use load::{News, Peers};
+use load::{Meter, News, Peers};
 use memory::Memory;
 use place::{Choice, Demand};
 use proof::Proof;
@@ -124,6 +124,8 @@
     pub memory: Memory,
     /// What other hosts have on runners.
     pub peers: Peers,
+    /// What this host sends.
+    pub meter: Meter,
     /// Repeats that are left.
     pub budgets: Budgets,
     /// Usage of this host.
@@ -144,6 +146,7 @@
             fleet: Fleet::new(zone),
             memory: Memory::default(),
             peers: Peers::default(),
+            meter: Meter::default(),
             budgets: Budgets::default(),
             tally: Tally::default(),
             ledger: Ledger::default(),
@@ -246,12 +249,29 @@
     pub fn place(&mut self, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
         let choice = place::choose(&self.fleet, &self.memory, now, demand, tried)?;
         self.fleet.begin(choice.key, choice.work, demand.held());
+        self.meter.add(now, &demand.service, choice.work);
         if let Some(subject) = demand.subject() {
             self.memory.note(now, subject.id, choice.key);
         }
         Some(choice)
     }
 
+    /// What this host tells the others.
+    pub fn news(&self, now: Moment, me: Incarnation, number: u64) -> News {
+        load::news(me, number, &self.fleet, self.meter.flows(now))
+    }
+
+    /// Work that all hosts send to a service, in prompt tokens a second.
+    pub fn flow(&self, now: Moment, service: &str) -> u64 {
+        let id = crate::id::digest(service.as_bytes());
+        let own = self.meter.flows(now);
+        let own = own
+            .iter()
+            .find(|flow| flow.service == id)
+            .map_or(0, |flow| flow.rate);
+        own + self.peers.flow(service)
+    }
+
     /// Takes what another host has on runners.
     pub fn hear(&mut self, now: Moment, me: Incarnation, news: News) {
         if let Ok(record) = serde_json::from_slice(&news.record) {
--- a/crates/core/src/gate/load.rs
+++ b/crates/core/src/gate/load.rs
@@ -39,6 +39,17 @@
     pub held: u64,
 }
 
+/// Work that one host sends to a service.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Flow {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// Work of the last seconds, in prompt tokens a second.
+    #[prost(uint64, tag = "2")]
+    pub rate: u64,
+}
+
 /// What one host has on all runners.
 #[derive(Clone, PartialEq, Message)]
 pub struct News {
@@ -51,6 +62,9 @@
     /// Runners on which it has anything.
     #[prost(message, repeated, tag = "3")]
     pub rows: Vec<Row>,
+    /// What it sends to each service.
+    #[prost(message, repeated, tag = "5")]
+    pub flows: Vec<Flow>,
     /// Its usage record, in some of its news.
     #[prost(bytes = "vec", tag = "4")]
     pub record: Vec<u8>,
@@ -91,6 +105,16 @@
         self.sum(fleet);
     }
 
+    /// Work that the other hosts send to a service, in prompt tokens a second.
+    pub fn flow(&self, service: &str) -> u64 {
+        let service = digest(service.as_bytes());
+        let flows = self.peers.iter().flat_map(|peer| &peer.news.flows);
+        flows
+            .filter(|flow| flow.service == service)
+            .map(|flow| flow.rate)
+            .sum()
+    }
+
     /// Forgets hosts that fell silent.
     fn forget(&mut self, now: Moment, hosts: u32) {
         let limit = beat(hosts) * SILENT;
@@ -119,7 +143,7 @@
 }
 
 /// What this host tells.
-pub fn news(me: Incarnation, number: u64, fleet: &Fleet) -> News {
+pub fn news(me: Incarnation, number: u64, fleet: &Fleet, flows: Vec<Flow>) -> News {
     let rows = fleet
         .all()
         .filter(|(_, runner)| runner.own.running > 0)
@@ -131,6 +155,57 @@
         incarnation: me.0,
         number,
         rows: rows.collect(),
+        flows,
         record: Vec::new(),
     }
 }
+
+/// Span over which a host measures what it sends.
+const SPAN_MS: u64 = 2_000;
+/// Parts of the span.
+const PARTS: u64 = 8;
+
+/// What this host sends to each service.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    services: Vec<(u64, Vec<(u64, u64)>)>,
+}
+
+impl Meter {
+    /// Counts work that was sent.
+    pub fn add(&mut self, now: Moment, service: &str, work: u64) {
+        let service = digest(service.as_bytes());
+        let at = match self.services.binary_search_by_key(&service, |(have, _)| *have) {
+            Ok(at) => at,
+            Err(at) => {
+                self.services.insert(at, (service, Vec::new()));
+                at
+            }
+        };
+        let part = part(now);
+        let parts = &mut self.services[at].1;
+        parts.retain(|(have, _)| have + PARTS > part);
+        match parts.last_mut() {
+            Some((have, sum)) if *have == part => *sum += work,
+            _ => parts.push((part, work)),
+        }
+    }
+
+    /// Work a second by service.
+    pub fn flows(&self, now: Moment) -> Vec<Flow> {
+        let oldest = (part(now) + 1).saturating_sub(PARTS);
+        let rate = |parts: &[(u64, u64)]| {
+            let young = parts.iter().filter(|(have, _)| *have >= oldest);
+            young.map(|(_, work)| work).sum::<u64>() * 1_000 / SPAN_MS
+        };
+        let flows = self.services.iter().map(|(service, parts)| Flow {
+            service: *service,
+            rate: rate(parts),
+        });
+        flows.collect()
+    }
+}
+
+fn part(now: Moment) -> u64 {
+    now.mono / 1_000 / (SPAN_MS / PARTS)
+}
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -2,8 +2,8 @@
 //!
 //! Reclaimable runners cost a fraction and vanish by zone with seconds of
 //! notice. So most are cheap, and more of them than would be paid for
-//! otherwise; as soon as a zone loses its cheap ones, dependable ones are
-//! ordered in their place, and given back once the cheap ones have returned.
+//! otherwise. While those that are there cannot carry the flow of work,
+//! dependable ones are ordered in their place, in the cheapest zones first.
 
 use std::time::Duration;
 
@@ -15,11 +15,15 @@
 const DEPENDABLE: u32 = 1;
 /// Reclaimable runners of a zone.
 const RECLAIMABLE: u32 = 6;
-/// Most dependable runners ordered in the place of reclaimable ones.
+/// Most dependable runners ordered in a zone in the place of reclaimable ones.
 const COVER: u32 = 5;
-/// How long a zone's reclaimable runners must be there before the dependable
-/// ones are given back: they are taken away in series on bad days.
-const HOLD: Duration = Duration::from_secs(5);
+/// Work of one runner, in prompt tokens a second: a third of what an engine of
+/// the users' sites reads, as the rest of its time goes to generating, and as
+/// prompts that come together must not wait for each other.
+const FLOW: u64 = 22_000;
+/// How long a peak of the flow counts: bursts come in series on bad days, and
+/// runners take four seconds to boot.
+const HOLD: Duration = Duration::from_secs(8);
 /// Pause between two orders for the same thing that was refused or lost.
 const AGAIN: Duration = Duration::from_millis(1_500);
 /// Time after which an order that stands is said again: an order whose answer
@@ -58,13 +62,11 @@
 }
 
 plain! {
-    /// Since when a zone's reclaimable runners are all there.
-    struct Zone {
+    /// Most runners that a service's flow needed lately.
+    struct Peak {
         service: String,
-        zone: String,
-        whole: Option<Moment>,
-        /// Whether they ever were.
-        before: bool,
+        needed: u32,
+        since: Moment,
     }
 }
 
@@ -72,22 +74,27 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     targets: Vec<Target>,
-    zones: Vec<Zone>,
+    peaks: Vec<Peak>,
     sending: Option<(Moment, usize)>,
 }
 
 impl Planner {
     /// The next order to send, while in charge.
-    pub fn tick(&mut self, now: Moment, table: &Table, fleet: &Fleet) -> Option<Order> {
+    ///
+    /// `flow` tells what work a service gets, in prompt tokens a second.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        table: &Table,
+        fleet: &Fleet,
+        flow: impl Fn(&str) -> u64,
+    ) -> Option<Order> {
         if self.sending.is_some_and(|(since, _)| now.since(since) < PATIENCE) {
             return None;
         }
         for service in table.services() {
-            let Some(scaling) = &service.scaling else {
-                continue;
-            };
-            for zone in scaling.prices.keys() {
-                self.plan(now, scaling, fleet, &service.name, zone);
+            if let Some(scaling) = &service.scaling {
+                self.plan(now, scaling, fleet, &service.name, flow(&service.name));
             }
         }
         let due = |target: &Target| {
@@ -114,63 +121,50 @@
         }
     }
 
-    fn plan(&mut self, now: Moment, scaling: &Scaling, fleet: &Fleet, service: &str, zone: &str) {
+    /// Sets the targets of one service.
+    fn plan(&mut self, now: Moment, scaling: &Scaling, fleet: &Fleet, service: &str, flow: u64) {
         if scaling.cheap.is_none() {
             return;
         }
         let base = DEPENDABLE.max(scaling.least).min(scaling.most);
-        let cheap = RECLAIMABLE.min(scaling.most - base);
-        let there = Count::of(fleet, service, zone);
-        let missing = cheap.saturating_sub(there.reclaimable);
-        let cover = match (self.is_whole(now, service, zone, missing), there.leaving) {
-            (true, _) => 0,
-            (false, true) => missing.clamp(1, COVER),
-            // Cheap ones are still booting: those that were found stay for so
-            // long, but none is ordered for the wait.
-            (false, false) if !self.was_whole(service, zone) => {
-                there.dependable.saturating_sub(base).min(missing.clamp(1, COVER))
-            }
-            (false, false) => missing.clamp(1, COVER),
-        };
-        let dependable = (base + cover).min(scaling.most);
-        let order = |reclaimable, count| Order {
-            service: service.to_string(),
-            zone: zone.to_string(),
-            reclaimable,
-            count,
-        };
-        self.want(order(false, dependable));
-        self.want(order(true, cheap.min(scaling.most - dependable)));
-    }
-
-    /// Whether the zone's reclaimable runners were all there before.
-    fn was_whole(&self, service: &str, zone: &str) -> bool {
-        let mut zones = self.zones.iter();
-        zones.any(|have| have.service == service && have.zone == zone && have.before)
+        let zones: Vec<&String> = by_price(scaling);
+        let cheap: u32 = zones.iter().map(|zone| reclaimable(fleet, service, zone)).sum();
+        let needed = self.needed(now, service, flow);
+        let mut lacking = needed.saturating_sub(cheap + base * zones.len() as u32);
+        for zone in zones {
+            let cover = lacking.min(COVER).min(scaling.most - base);
+            lacking -= cover;
+            let dependable = base + cover;
+            let order = |reclaimable, count| Order {
+                service: service.to_string(),
+                zone: zone.clone(),
+                reclaimable,
+                count,
+            };
+            let wanted = RECLAIMABLE.min(scaling.most - dependable);
+            self.want(order(false, dependable));
+            self.want(order(true, wanted));
+        }
     }
 
-    /// Whether the zone's reclaimable runners have been there for long enough.
-    fn is_whole(&mut self, now: Moment, service: &str, zone: &str, missing: u32) -> bool {
-        let found = self
-            .zones
-            .iter()
-            .position(|have| have.service == service && have.zone == zone);
+    /// Runners that the highest flow of the last seconds needs.
+    fn needed(&mut self, now: Moment, service: &str, flow: u64) -> u32 {
+        let needed = flow.div_ceil(FLOW) as u32;
+        let found = self.peaks.iter().position(|peak| peak.service == service);
         let at = found.unwrap_or_else(|| {
-            self.zones.push(Zone {
+            self.peaks.push(Peak {
                 service: service.to_string(),
-                zone: zone.to_string(),
-                whole: None,
-                before: false,
+                needed: 0,
+                since: now,
             });
-            self.zones.len() - 1
+            self.peaks.len() - 1
         });
-        let state = &mut self.zones[at];
-        state.before |= missing == 0;
-        state.whole = match missing {
-            0 => state.whole.or(Some(now)),
-            _ => None,
-        };
-        state.whole.is_some_and(|since| now.since(since) >= HOLD)
+        let peak = &mut self.peaks[at];
+        if needed >= peak.needed || now.since(peak.since) >= HOLD {
+            peak.needed = needed;
+            peak.since = now;
+        }
+        peak.needed
     }
 
     fn want(&mut self, order: Order) {
@@ -198,27 +192,21 @@
     }
 }
 
-/// Runners of a service in a zone.
-#[derive(Clone, Copy, Debug, Default)]
-struct Count {
-    dependable: u32,
-    reclaimable: u32,
-    /// Whether reclaimable ones are being taken away.
-    leaving: bool,
+/// Zones, the cheapest first.
+fn by_price(scaling: &Scaling) -> Vec<&String> {
+    let mut zones: Vec<(&String, f64)> = scaling
+        .prices
+        .iter()
+        .map(|(zone, price)| (zone, *price))
+        .collect();
+    zones.sort_by(|a, b| a.1.total_cmp(&b.1));
+    zones.into_iter().map(|(zone, _)| zone).collect()
 }
 
-impl Count {
-    fn of(fleet: &Fleet, service: &str, zone: &str) -> Self {
-        let mut count = Self::default();
-        let own = fleet.all().map(|(_, runner)| runner);
-        for runner in own.filter(|runner| runner.listed.service == service && runner.listed.zone == zone) {
-            match (runner.listed.reclaimable, runner.is_listed()) {
-                (false, true) => count.dependable += 1,
-                (true, true) => count.reclaimable += 1,
-                (true, false) => count.leaving |= runner.is_leaving(),
-                (false, false) => {}
-            }
-        }
-        count
-    }
+/// Reclaimable runners of a service in a zone that take new work.
+fn reclaimable(fleet: &Fleet, service: &str, zone: &str) -> u32 {
+    let runners = fleet.all().map(|(_, runner)| runner);
+    let own = runners.filter(|runner| runner.listed.service == service && runner.listed.zone == zone);
+    own.filter(|runner| runner.listed.reclaimable && runner.is_listed())
+        .count() as u32
 }
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -285,7 +285,8 @@
             let Some(table) = state.table.clone() else {
                 return false;
             };
-            self.planner.tick(now, &table, &state.fleet)
+            self.planner
+                .tick(now, &table, &state.fleet, |service| state.flow(now, service))
         };
         let Some(order) = order else {
             return false;
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -23,11 +23,9 @@
     loop {
         number += 1;
         let (mut news, pause) = {
+            let now = shared.now();
             let state = shared.state();
-            (
-                load::news(shared.me, number, &state.fleet),
-                load::beat(state.hosts),
-            )
+            (state.news(now, shared.me, number), load::beat(state.hosts))
         };
         if number % load::RECORD_EVERY == 0 {
             // Writing text and numbers as JSON cannot fail.
