Tests of the opaque front's decisions, without sockets

One of them was written with a burst too small to cross over (60 prompts wait less than reading their shared parts anew costs); it now has 200.

--- a/tests/suite/gate.rs
+++ b/tests/suite/gate.rs
@@ -1,5 +1,10 @@
 //! Decisions of the opaque front, without sockets.
 
 mod build;
+mod events;
+mod fleet;
 mod freshness;
+mod lease;
+mod limits;
+mod place;
 mod usage;
--- /dev/null
+++ b/tests/suite/gate/events.rs
@@ -0,0 +1,55 @@
+//! Cutting streams into whole events.
+
+use quickcheck::quickcheck;
+use radishstair_entry::gate::events::Cutter;
+
+fn cut(pieces: &[&[u8]]) -> (Vec<u8>, Vec<u64>, bool) {
+    let mut cutter = Cutter::default();
+    let (mut bytes, mut ids) = (Vec::new(), Vec::new());
+    for piece in pieces {
+        let events = cutter.push(piece).expect("no event is too long");
+        bytes.extend_from_slice(&events.bytes);
+        ids.extend(events.ids);
+    }
+    (bytes, ids, cutter.is_empty())
+}
+
+/// A runner dies in the middle of an event. The caller must not get the torn
+/// piece, as the next runner starts with the whole event.
+#[test]
+fn a_torn_event_is_held_back() {
+    let (bytes, ids, whole) = cut(&[b"id: 1\ndata: a\n\nid: 2\nda"]);
+    assert_eq!(bytes, b"id: 1\ndata: a\n\n");
+    assert_eq!(ids, [1]);
+    assert!(!whole);
+}
+
+/// Events come through unchanged, wherever the bytes are cut.
+#[test]
+fn cuts_change_nothing() {
+    fn holds(cuts: Vec<u8>, count: u8) -> bool {
+        let text: String = (0..count % 20)
+            .map(|id| format!("id: {id}\ndata: t{id}\n\n"))
+            .collect();
+        let mut rest = text.as_bytes();
+        let mut pieces = Vec::new();
+        for cut in cuts {
+            let (piece, tail) = rest.split_at(usize::from(cut % 7).min(rest.len()));
+            pieces.push(piece);
+            rest = tail;
+        }
+        pieces.push(rest);
+        let ids: Vec<u64> = (0..u64::from(count % 20)).collect();
+        cut(&pieces) == (text.as_bytes().to_vec(), ids, true)
+    }
+    quickcheck(holds as fn(Vec<u8>, u8) -> bool);
+}
+
+/// A runner that never ends an event must not fill this host's memory.
+#[test]
+fn an_endless_event_is_refused() {
+    let mut cutter = Cutter::default();
+    let piece = vec![b'x'; 400 * 1024];
+    let kept = (0..4).map(|_| cutter.push(&piece)).collect::<Vec<_>>();
+    assert!(kept[0].is_some() && kept[3].is_none());
+}
--- /dev/null
+++ b/tests/suite/gate/fleet.rs
@@ -0,0 +1,113 @@
+//! Runners that come and go, as one host believes.
+
+use radishstair_core::gate::fleet::{Fleet, Idle, Sign, Stage};
+use radishstair_core::time::Moment;
+
+use super::build::runner;
+use std::time::Duration;
+
+fn at(ms: u64) -> Moment {
+    Moment::at_ms(100_000 + ms)
+}
+
+fn open(fleet: &Fleet, ms: u64) -> Vec<String> {
+    let open = fleet.open(at(ms), "engines");
+    let mut ids: Vec<String> = open.map(|(_, runner)| runner.listed.id.clone()).collect();
+    ids.sort();
+    ids
+}
+
+fn listed(ids: &[&str]) -> Vec<radishstair_core::gate::fleet::Listed> {
+    ids.iter().map(|id| runner(id, "engines", "zone-a")).collect()
+}
+
+/// Callers are refused though all runners live. The store was away, the
+/// runners' entries lapsed in it, and the first list after its return is empty.
+/// Missing entries mean nothing until live runners have had time to be listed
+/// again; one that is still missing then is gone.
+#[test]
+fn entries_that_lapsed_with_the_store_are_waited_for() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a", "b"]));
+    fleet.list(at(1_000), listed(&["a", "b"]));
+    fleet.list(at(6_000), Vec::new());
+    assert_eq!(open(&fleet, 6_100), ["a", "b"]);
+    fleet.list(at(7_500), listed(&["a"]));
+    assert_eq!(open(&fleet, 7_600), ["a", "b"]);
+    fleet.list(at(8_400), listed(&["a"]));
+    assert_eq!(open(&fleet, 8_500), ["a"]);
+}
+
+/// Requests go to a runner that has left. Its entry is removed while the store
+/// is sound; that is its leave, and it counts at once.
+#[test]
+fn an_entry_that_is_removed_from_a_sound_store_is_gone() {
+    let mut fleet = Fleet::new("zone-a");
+    for ms in [0, 1_000, 2_000, 3_000] {
+        fleet.list(at(ms), listed(&["a", "b"]));
+    }
+    fleet.list(at(4_000), listed(&["b"]));
+    assert_eq!(open(&fleet, 4_001), ["b"]);
+}
+
+/// A runner that says it is leaving gets nothing new, and still counts as there.
+#[test]
+fn a_draining_runner_gets_nothing_new() {
+    let mut fleet = Fleet::new("zone-a");
+    let mut items = listed(&["a", "b"]);
+    items[0].stage = Stage::Draining;
+    fleet.list(at(0), items);
+    assert_eq!(open(&fleet, 1), ["b"]);
+    let a = fleet.find("a").expect("it is known");
+    assert!(fleet.get(a).expect("it is there").is_leaving());
+}
+
+/// The list lags behind a crash by seconds. A runner that refuses connections
+/// rests, longer each time, and is tried again.
+#[test]
+fn an_unreachable_runner_rests_and_comes_back() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a"]));
+    let a = fleet.find("a").expect("it is known");
+    fleet.sign(at(10), a, Sign::Unreachable);
+    assert!(open(&fleet, 100).is_empty());
+    assert_eq!(open(&fleet, 500), ["a"]);
+    fleet.sign(at(500), a, Sign::Unreachable);
+    assert!(open(&fleet, 1_200).is_empty());
+    fleet.sign(at(1_400), a, Sign::Sound);
+    fleet.sign(at(1_500), a, Sign::Unreachable);
+    assert_eq!(open(&fleet, 2_000), ["a"]);
+}
+
+/// A caller's answer comes from another service. A runner has gone and another
+/// process answers at its address; it gets nothing until the list says anew who
+/// is there.
+#[test]
+fn a_replaced_runner_gets_nothing_until_it_is_listed_anew() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a"]));
+    let a = fleet.find("a").expect("it is known");
+    fleet.sign(at(10), a, Sign::Replaced);
+    fleet.list(at(1_000), listed(&["a"]));
+    assert!(open(&fleet, 9_000).is_empty());
+    let mut again = listed(&["a"]);
+    again[0].born = 2;
+    let void = fleet.list(at(9_500), again);
+    assert_eq!(void, [a], "its connections are another process's");
+    assert_eq!(open(&fleet, 9_600), ["a"]);
+}
+
+/// A posting meets a connection that the runner is just closing, and nobody can
+/// tell whether it ran. Such requests use only connections that are nearly
+/// fresh; others use them for longer, but not to the end.
+#[test]
+fn postings_use_only_fresh_connections() {
+    let idle = Idle {
+        since: at(0),
+        kept: Duration::from_secs(10),
+    };
+    assert!(idle.is_usable(at(3_000), true));
+    assert!(!idle.is_usable(at(3_500), true));
+    assert!(idle.is_usable(at(9_000), false));
+    assert!(!idle.is_usable(at(9_400), false));
+}
--- /dev/null
+++ b/tests/suite/gate/limits.rs
@@ -0,0 +1,165 @@
+//! Repeats, routes and orders.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use radishstair_core::gate::budget::Budgets;
+use radishstair_core::gate::fleet::Fleet;
+use radishstair_core::gate::route::{Limits, Mode, Scaling, Share, Table};
+use radishstair_core::gate::supply::{Order, Planner};
+use radishstair_core::time::Moment;
+
+use super::build::{bounds, customer, route, runner, service};
+
+fn at(ms: u64) -> Moment {
+    Moment::at_ms(100_000 + ms)
+}
+
+/// A service falls over after an outage: every host repeats what failed. In
+/// every span of the window's length, all hosts together stay inside the ratio
+/// and the slack, though none asks another.
+#[test]
+fn hosts_stay_inside_the_shared_budget_without_talking() {
+    let bounds = bounds();
+    let hosts = 8;
+    let mut budgets = vec![Budgets::default(); hosts];
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for ms in (0..60_000u64).step_by(20) {
+        for host in &mut budgets {
+            if ms % 200 == 0 {
+                host.count(at(ms), "ledger");
+                requests.push(ms);
+            }
+            if host.take(at(ms), "ledger", &bounds, hosts as u32) {
+                repeats.push(ms);
+            }
+        }
+    }
+    for from in (0..50_000).step_by(100) {
+        let span = from..from + bounds.repeat_window_s * 1_000;
+        let asked = requests.iter().filter(|ms| span.contains(ms)).count() as f64;
+        let again = repeats.iter().filter(|ms| span.contains(ms)).count() as f64;
+        let allowed = asked * bounds.repeat_ratio + bounds.repeat_slack;
+        assert!(again <= allowed, "{again} of {allowed} from {from} ms");
+    }
+    assert!(repeats.len() > 300, "it is used: {}", repeats.len());
+}
+
+/// The longest prefix that begins the path wins, for its own host only.
+#[test]
+fn routes_are_found_by_host_and_longest_prefix() {
+    let routes = vec![
+        route("all", "/", Mode::Repeatable, "a"),
+        route("books", "/books/", Mode::Repeatable, "b"),
+        route("old", "/books/old/", Mode::Once, "c"),
+    ];
+    let table = Table::new(1, 1, routes, Vec::new(), None, Limits::default());
+    let name = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(name("books.example", "/books/old/7").as_deref(), Some("old"));
+    assert_eq!(name("BOOKS.example", "/books/older").as_deref(), Some("books"));
+    assert_eq!(name("books.example", "/books").as_deref(), Some("all"));
+    assert_eq!(name("other.example", "/books/1"), None);
+}
+
+/// A split route's requests fall by weight, and a share without weight gets none.
+#[test]
+fn splits_follow_their_weights() {
+    let mut split = route("split", "/", Mode::Repeatable, "a");
+    let share = |service: &str, weight| Share {
+        service: service.into(),
+        weight,
+    };
+    split.shares = vec![share("a", 90), share("b", 10), share("c", 0)];
+    let count = |name: &str| (0..1_000).filter(|draw| split.service(*draw) == name).count();
+    assert_eq!((count("a"), count("b"), count("c")), (900, 100, 0));
+}
+
+/// An engine out of memory puts the least urgent back. A route's priority goes
+/// first, the customer's decides among equals, and all fit into ten ranks.
+#[test]
+fn ranks_keep_routes_apart() {
+    let mut urgent = route("urgent", "/u/", Mode::Repeatable, "a");
+    urgent.priority = 0;
+    let mut later = route("later", "/l/", Mode::Repeatable, "a");
+    later.priority = 2;
+    let mut first = customer("first", &["k1"]);
+    first.priority = Some(0);
+    let mut second = customer("second", &["k2"]);
+    second.priority = Some(1);
+    let customers = Some(vec![first, second]);
+    let table = Table::new(
+        1,
+        1,
+        vec![urgent, later],
+        Vec::new(),
+        customers,
+        Limits::default(),
+    );
+    let rank = |path: &str, key: &str| {
+        let route = table.find("books.example", path).expect("a route");
+        table.rank(route, table.customer(key), 9)
+    };
+    let ranks = [
+        rank("/u/1", "k1"),
+        rank("/u/1", "k2"),
+        rank("/l/1", "k1"),
+        rank("/l/1", "k2"),
+    ];
+    assert!(ranks.is_sorted_by(|a, b| a < b) && ranks[3] <= 9, "{ranks:?}");
+}
+
+fn engines() -> Table {
+    let mut engines = service("engines", Some(32));
+    engines.scaling = Some(Scaling {
+        least: 1,
+        most: 10,
+        boot: Duration::from_secs(4),
+        cheap: Some(0.22),
+        prices: BTreeMap::from([("zone-a".into(), 1.2), ("zone-b".into(), 0.9)]),
+    });
+    Table::new(1, 1, Vec::new(), vec![engines], None, Limits::default())
+}
+
+fn orders(planner: &mut Planner, ms: u64, fleet: &Fleet, flow: u64) -> Vec<Order> {
+    let table = engines();
+    let mut sent = Vec::new();
+    while let Some(order) = planner.tick(at(ms), &table, fleet, |_| flow) {
+        planner.ordered(at(ms), &order, true);
+        sent.push(order);
+    }
+    sent
+}
+
+/// Both zones lose their cheap runners under load and callers wait. Dependable
+/// ones are ordered for what is lacking, in the cheaper zone first, and given
+/// back when the cheap ones carry the flow again.
+#[test]
+fn lost_cheap_runners_are_made_up_for() {
+    let cheap = |zones: &[&str]| {
+        let mut fleet = Fleet::new("zone-a");
+        let listed = zones.iter().flat_map(|zone| {
+            (0..6).map(move |at| {
+                let mut item = runner(&format!("{zone}-{at}"), "engines", zone);
+                item.reclaimable = true;
+                item
+            })
+        });
+        fleet.list(at(0), listed.collect());
+        fleet
+    };
+    let mut planner = Planner::default();
+    let calm = orders(&mut planner, 0, &cheap(&["zone-a", "zone-b"]), 200_000);
+    let dependable = |orders: &[Order], zone: &str| {
+        let found = orders
+            .iter()
+            .find(|order| order.zone == zone && !order.reclaimable);
+        found.map(|order| order.count)
+    };
+    assert_eq!(dependable(&calm, "zone-a"), Some(0));
+    let lost = orders(&mut planner, 2_000, &cheap(&[]), 200_000);
+    assert_eq!(dependable(&lost, "zone-b"), Some(6));
+    assert_eq!(dependable(&lost, "zone-a"), Some(2));
+    let back = orders(&mut planner, 12_000, &cheap(&["zone-a", "zone-b"]), 200_000);
+    assert_eq!(dependable(&back, "zone-b"), Some(0));
+}
--- /dev/null
+++ b/tests/suite/gate/place.rs
@@ -0,0 +1,145 @@
+//! Where requests go under load.
+
+use radishstair_core::gate::fleet::Fleet;
+use radishstair_core::gate::load::{self, Meter, Peers, Row};
+use radishstair_core::gate::memory::Memory;
+use radishstair_core::gate::place::{self, Demand, Part};
+use radishstair_core::id::Incarnation;
+use radishstair_core::time::Moment;
+
+use super::build::runner;
+
+fn at(ms: u64) -> Moment {
+    Moment::at_ms(100_000 + ms)
+}
+
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::new("zone-0");
+    let listed = (0..count).map(|at| runner(&format!("r{at}"), "engines", &format!("zone-{}", at % 2)));
+    fleet.list(at(0), listed.collect());
+    fleet
+}
+
+fn demand(prompt: u64, subject: u64) -> Demand {
+    Demand {
+        service: "engines".into(),
+        prompt,
+        output: 100,
+        parts: vec![
+            Part { id: 1, tokens: 100 },
+            Part {
+                id: subject,
+                tokens: prompt / 2,
+            },
+            Part {
+                id: 999,
+                tokens: prompt / 2 - 100,
+            },
+        ],
+        ..Demand::default()
+    }
+}
+
+/// Short streams pause while long prompts are read beside them. With all
+/// runners idle each kind goes to the runners kept for it.
+#[test]
+fn long_and_short_prompts_go_apart() {
+    let fleet = fleet(14);
+    let memory = Memory::default();
+    for subject in 10..60 {
+        let long = place::choose(&fleet, &memory, at(1), &demand(12_000, subject), &[]).expect("one");
+        let short = place::choose(&fleet, &memory, at(1), &demand(800, subject), &[]).expect("one");
+        assert!(fleet.get(long.key).expect("known").long);
+        assert!(!fleet.get(short.key).expect("known").long);
+    }
+}
+
+/// A burst of long prompts fills the runners kept for them; their callers would
+/// wait past their target beside idle runners. They cross over once the wait
+/// costs more than the harm done there.
+#[test]
+fn a_burst_of_long_prompts_crosses_over() {
+    let mut fleet = fleet(6);
+    let memory = Memory::default();
+    let mut crossed = 0;
+    for subject in 0..200 {
+        let choice = place::choose(&fleet, &memory, at(1), &demand(12_000, subject), &[]).expect("one");
+        crossed += u32::from(!fleet.get(choice.key).expect("known").long);
+        fleet.begin(choice.key, choice.work, 12_100);
+    }
+    assert!((20..100).contains(&crossed), "{crossed} of 200 crossed over");
+}
+
+/// The beginning of a prompt is read again and again. Requests about a subject
+/// go where its beginning was read, on all hosts alike, without talk.
+#[test]
+fn hosts_agree_on_the_home_of_a_subject() {
+    let (one, other) = (fleet(14), fleet(14));
+    let memory = Memory::default();
+    for subject in 0..100 {
+        let demand = demand(12_000, subject);
+        let home = |fleet: &Fleet| {
+            let choice = place::choose(fleet, &memory, at(1), &demand, &[]).expect("one");
+            fleet.get(choice.key).expect("known").listed.id.clone()
+        };
+        assert_eq!(home(&one), home(&other));
+    }
+}
+
+/// One subject gets most of the traffic and its home falls behind. Requests
+/// leave it when the wait there costs more than reading the beginning anew, and
+/// those that follow find the second place.
+#[test]
+fn a_hot_subject_spreads_over_a_few_runners() {
+    let mut fleet = fleet(14);
+    let mut memory = Memory::default();
+    let mut used = Vec::new();
+    for _ in 0..40 {
+        let demand = demand(12_000, 5);
+        let choice = place::choose(&fleet, &memory, at(1), &demand, &[]).expect("one");
+        fleet.begin(choice.key, choice.work, demand.held());
+        memory.note(at(1), 5, choice.key);
+        used.push(choice.key);
+    }
+    used.sort_unstable();
+    used.dedup();
+    assert!((2..=8).contains(&used.len()), "{} runners", used.len());
+}
+
+/// Each host sees only its own part of the load and all send to the same
+/// runner. What a peer tells counts like one's own, replaces what it said
+/// before, and is forgotten when it falls silent.
+#[test]
+fn the_peers_load_counts() {
+    let mut busy = fleet(4);
+    let target = busy.find("r0").expect("known");
+    busy.begin(target, 50_000, 60_000);
+    let mut mine = fleet(4);
+    let mut peers = Peers::default();
+    let (me, peer) = (Incarnation(1), Incarnation(2));
+    let news = |number, fleet: &Fleet| load::news(peer, number, fleet, Vec::new());
+    peers.hear(at(0), me, news(2, &busy), &mut mine, 2);
+    let load = |fleet: &Fleet| {
+        let runner = fleet.get(target).expect("known");
+        (runner.load(), runner.backlog(), runner.held())
+    };
+    assert_eq!(load(&mine), (1, 50_000, 60_000));
+    peers.hear(at(10), me, news(1, &fleet(4)), &mut mine, 2);
+    assert_eq!(load(&mine), (1, 50_000, 60_000), "old news says nothing");
+    let third = load::news(Incarnation(3), 1, &fleet(4), Vec::new());
+    peers.hear(at(60_000), me, third, &mut mine, 2);
+    assert_eq!(load(&mine), (0, 0, 0), "a silent peer is forgotten");
+    assert_eq!(Row::default().running, 0);
+}
+
+/// The order for runners follows the work of the last seconds, not of hours.
+#[test]
+fn the_flow_is_of_the_last_seconds() {
+    let mut meter = Meter::default();
+    for ms in (0..4_000).step_by(100) {
+        meter.add(at(ms), "engines", 1_000);
+    }
+    let rate = |ms| meter.flows(at(ms))[0].rate;
+    assert!((9_000..=11_000).contains(&rate(3_990)), "{}", rate(3_990));
+    assert_eq!(rate(20_000), 0);
+}
