One client towards runners for both fronts; peers without a circle; rereading at 20 again

Cause: the opaque front had brought its own connections beside those of the product's own front, and front/call.rs and peers.rs needed each other.

Change: upstream/line.rs and upstream/pool.rs (connections by address, with the idle time that the runner tells) now carry the calls of both fronts and to the platform; the general client of the own front is gone. peers.rs is split into links (used by front/call.rs) and serve (uses it). Connections to an address are void when another runner is listed there.

--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -197,14 +197,14 @@
     }
 
     /// Takes the whole list, as read by a question that left at `sent`.
-    /// Returns the runners whose connections are void: another process now
-    /// goes by their id.
+    /// Returns the addresses at which another process now listens, so that
+    /// connections to the former one are void.
     ///
     /// A missing entry means that the runner is gone, unless the store was
     /// away: then the entries of live runners may have lapsed, and dropping
     /// them would leave nobody to serve. They count as present until the store
     /// has been back for long enough to list them again.
-    pub fn list(&mut self, sent: Moment, items: Vec<Listed>) -> Vec<Key> {
+    pub fn list(&mut self, sent: Moment, items: Vec<Listed>) -> Vec<SocketAddr> {
         if self.listed.is_none_or(|last| sent.since(last) >= AWAY) {
             self.back = Some(sent);
         }
@@ -215,32 +215,34 @@
                 runner.present = false;
             }
         }
-        let void = items.into_iter().filter_map(|item| self.take(item)).collect();
+        let void = items.into_iter().flat_map(|item| self.take(item)).collect();
         place::part(&mut self.arena);
         void
     }
 
-    fn take(&mut self, item: Listed) -> Option<Key> {
+    fn take(&mut self, item: Listed) -> Vec<SocketAddr> {
         let found = self.ids.binary_search_by(|(id, _)| id.as_str().cmp(&item.id));
         let at = match found {
             Ok(at) => at,
             Err(at) => {
+                let address = item.address;
                 self.add(at, item);
-                return None;
+                return vec![address];
             }
         };
         let key = self.ids[at].1;
         let runner = &mut self.arena[key.index()];
         let same = runner.listed.address == item.address && runner.listed.born == item.born;
+        let former = runner.listed.address;
         runner.present = true;
         runner.listed = item;
         if same {
-            return None;
+            return Vec::new();
         }
         runner.replaced = false;
         runner.rest = Moment::default();
         runner.failures = 0;
-        Some(key)
+        vec![former, runner.listed.address]
     }
 
     fn add(&mut self, at: usize, listed: Listed) {
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -31,7 +31,7 @@
 /// Cost of a shared token that is read again, in tokens: the operators price a
 /// thousand of them like a fifth of a mean long request, which is late after
 /// 2.5 s, the time for 160,000 tokens.
-const REREAD: f64 = 30.0;
+const REREAD: f64 = 20.0;
 /// Cost of each request that runs on a runner already, in tokens: it slows the
 /// steps of the others by a few milliseconds over their life.
 const BESIDE: f64 = 300.0;
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -26,8 +26,9 @@
 use super::{BODY_BYTES, Body, authenticate, header, issue, read, refused};
 use crate::handle::Handle;
 use crate::metrics::Class;
-use crate::peers::Links;
-use crate::upstream::{Failure, Outgoing, Pool, leaves, send_alone};
+use crate::peers::links::Links;
+use crate::upstream::pool::Pool;
+use crate::upstream::{self, Exchange, Failure, Outgoing, leaves};
 
 mod answer;
 mod guard;
@@ -52,7 +53,7 @@
     /// Shared state.
     pub handle: Arc<Handle>,
     /// Connections for calls that may be repeated.
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
     /// Connections to the owners of calls.
     pub links: Links,
 }
@@ -408,11 +409,9 @@
         outgoing: &Outgoing,
         alone: bool,
     ) -> Result<Answered, (Failure, Refusal)> {
-        let sent = match alone {
-            true => send_alone(start, outgoing).await,
-            false => self.pool.send(start, outgoing).await,
-        };
-        let answer = sent.map_err(|failure| match failure {
+        let now = self.handle.clock.now();
+        let sent = upstream::send(&self.pool, now, start, outgoing, alone).await;
+        let (answer, kept) = sent.map(Exchange::split).map_err(|failure| match failure {
             Failure::NotSent => (failure, Kind::NoRunner.into()),
             Failure::Broken => (failure, Kind::UpstreamBroken.into()),
         })?;
@@ -429,6 +428,7 @@
         let status = answer.status().as_u16();
         let body = Limited::new(answer.into_body(), BODY_BYTES).collect().await;
         let body = body.map_err(|_| (Failure::Broken, Kind::UpstreamBroken.into()))?;
+        kept.give(&self.pool, self.handle.clock.now());
         Ok(Answered {
             runner: start.name.clone(),
             status,
--- a/crates/entry/src/front/chat.rs
+++ b/crates/entry/src/front/chat.rs
@@ -23,7 +23,7 @@
 
 use super::{Body, authenticate, header, json, read};
 use crate::handle::Handle;
-use crate::upstream::Pool;
+use crate::upstream::pool::Pool;
 
 mod job;
 
@@ -42,7 +42,7 @@
     /// Shared state.
     pub handle: Arc<Handle>,
     /// Connections to engines.
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
 }
 
 /// What the caller gets.
--- a/crates/entry/src/front/chat/job.rs
+++ b/crates/entry/src/front/chat/job.rs
@@ -21,20 +21,24 @@
 use crate::front::sse::Splitter;
 use crate::handle::{Flight, Handle};
 use crate::metrics::Class;
-use crate::upstream::{Failure, Outgoing, Pool, leaves};
+use crate::upstream::pool::Pool;
+use crate::upstream::{self, Exchange, Failure, Kept, Outgoing, leaves};
 
 /// Runners tried for one request.
 const TRIES: usize = 3;
 /// Longest silence of a runner within a stream.
 const SILENCE: Duration = Duration::from_secs(20);
 
+/// Longest wait for the end of a body whose stream has ended.
+const END: Duration = Duration::from_millis(50);
+
 type Pieces = mpsc::Sender<Piece>;
 type Head = oneshot::Sender<Result<String, Refusal>>;
 
 /// One request on its way.
 pub struct Job {
     pub handle: Arc<Handle>,
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
     pub id: String,
     pub body: Value,
     pub route: Route,
@@ -156,11 +160,12 @@
             id: self.id.clone(),
             body: self.upstream_body(state.usage.tokens),
         };
+        let now = self.handle.clock.now();
         let sent = tokio::select! {
-            sent = self.pool.send(start, &outgoing) => sent,
+            sent = upstream::send(&self.pool, now, start, &outgoing, false) => sent,
             () = state.caller_gone(pieces) => return Attempt::CallerGone,
         };
-        let answer = match sent {
+        let (answer, kept) = match sent.map(Exchange::split) {
             Ok(answer) => answer,
             Err(Failure::NotSent) => return Attempt::Failed(Kind::NoRunner.into()),
             Err(Failure::Broken) => return Attempt::Failed(Kind::UpstreamBroken.into()),
@@ -172,13 +177,25 @@
             let detail = format!("the runner answered {}", answer.status());
             return Attempt::Failed(Refusal::new(Kind::UpstreamBroken).detail(detail));
         }
-        self.relay(start, answer.into_body(), state, pieces).await
+        let mut body = answer.into_body();
+        let attempt = self.relay(start, &mut body, state, pieces).await;
+        if matches!(attempt, Attempt::Whole) {
+            self.keep(body, kept).await;
+        }
+        attempt
+    }
+
+    /// Gives the connection back if nothing follows the stream's end.
+    async fn keep(&self, mut body: Incoming, kept: Kept) {
+        if let Ok(None) = tokio::time::timeout(END, body.frame()).await {
+            kept.give(&self.pool, self.handle.clock.now());
+        }
     }
 
     async fn relay(
         &self,
         start: &Start,
-        mut body: Incoming,
+        body: &mut Incoming,
         state: &mut Progress,
         pieces: &Pieces,
     ) -> Attempt {
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -4,6 +4,7 @@
 //! it did not run allows a second runner or a refusal that says "not run".
 //! Everything else may have run: a reset, a closed connection, silence.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,9 +24,9 @@
 
 use super::Shared;
 use super::dialect::{Head, Mark, Pass};
-use super::line::{self, Line, Sent};
-use super::pool::Pool;
 use super::reply::{self, Body};
+use crate::upstream::line::{self, Line, Sent};
+use crate::upstream::pool::{self, Pool};
 
 /// Most bytes of a plain answer, which is held until it is whole.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -118,6 +119,7 @@
     pub key: Key,
     /// Its id.
     pub id: String,
+    address: SocketAddr,
     work: u64,
     held: u64,
 }
@@ -264,24 +266,23 @@
         let demand = job.demand(rand::random());
         let mut state = self.shared.state();
         let choice = state.place(now, &demand, tried)?;
-        let id = state.fleet.get(choice.key)?.listed.id.clone();
+        let listed = &state.fleet.get(choice.key)?.listed;
+        let (id, address) = (listed.id.clone(), listed.address);
         drop(state);
         Some(Slot {
             shared: self.shared.clone(),
             key: choice.key,
             id,
+            address,
             work: choice.work,
             held: demand.held(),
         })
     }
 
     async fn attempt(&self, job: &Job, after: Option<u64>, slot: Slot, tries: &mut Tries) -> Attempt {
-        let Some(address) = self.address(&slot) else {
-            return Attempt::Unreachable;
-        };
         let now = self.shared.now();
-        let limit = job.left(now).unwrap_or(super::pool::CONNECT);
-        let taken = self.pool.take(now, slot.key, address, job.once(), limit).await;
+        let limit = job.left(now).unwrap_or(pool::CONNECT);
+        let taken = self.pool.take(now, slot.address, job.once(), limit).await;
         let (mut line, _reused) = match taken {
             Ok(taken) => taken,
             Err(err) => {
@@ -404,20 +405,15 @@
     pub fn give(&self, slot: &Slot, line: Line, parts: &response::Parts) {
         if !line::closes(&parts.headers) {
             let kept = line::keeps(&parts.headers);
-            self.pool.give(self.shared.now(), slot.key, line, kept);
-            self.tell_idle(slot.key);
+            self.pool.give(self.shared.now(), slot.address, line, kept);
+            self.tell_idle(slot);
         }
     }
 
     /// Lets placement know whether a new connection would be needed.
-    fn tell_idle(&self, key: Key) {
-        let idle = self.pool.next(key);
-        self.shared.state().fleet.idle(key, idle);
-    }
-
-    fn address(&self, slot: &Slot) -> Option<std::net::SocketAddr> {
-        let state = self.shared.state();
-        state.fleet.get(slot.key).map(|runner| runner.listed.address)
+    fn tell_idle(&self, slot: &Slot) {
+        let idle = self.pool.next(slot.address);
+        self.shared.state().fleet.idle(slot.key, idle);
     }
 
     fn is_listed(&self, slot: &Slot) -> bool {
--- a/crates/entry/src/gate/run.rs
+++ b/crates/entry/src/gate/run.rs
@@ -16,9 +16,10 @@
 use super::dialect::Dialect;
 use super::duty::Duty;
 use super::forward::Forwarder;
-use super::pool::Pool;
 use super::settings::Settings;
 use super::store::Asker;
+use crate::upstream::pool::Pool;
+
 use super::{Shared, accept, admin, peers, sync};
 
 /// How long a stopping host goes on accepting: the balancer asks once a second
--- a/crates/entry/src/gate/store.rs
+++ b/crates/entry/src/gate/store.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::line::{self, Line, Sent};
+use crate::upstream::line::{self, Line, Sent};
 
 /// Longest time to connect.
 const CONNECT: Duration = Duration::from_millis(400);
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -13,8 +13,8 @@
 use tokio::sync::mpsc;
 
 use super::Shared;
-use super::pool::Pool;
 use super::store::{Asked, Asker};
+use crate::upstream::pool::Pool;
 
 /// Time between the beginnings of two rounds. Withdrawn routes must stop within
 /// two seconds: a round, an answer that is lost, and the next one fit in.
@@ -124,8 +124,8 @@
             .filter_map(|entry| self.runner(entry))
             .collect();
         let void = self.shared.state().fleet.list(sent, runners);
-        for key in void {
-            self.runners.forget(key);
+        for address in void {
+            self.runners.forget(address);
         }
     }
 
--- /dev/null
+++ b/crates/entry/src/peers/links.rs
@@ -0,0 +1,93 @@
+//! Connections to peers, each message with the shared token.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use radishstair_core::peer::MESSAGE_BYTES;
+use radishstair_wire::PEER_TOKEN;
+use radishstair_wire::generated::peer_client::PeerClient;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Status};
+
+/// Longest wait for a connection to a peer.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Adds the shared token to each message.
+#[derive(Clone, Debug)]
+pub struct Token(MetadataValue<Ascii>);
+
+impl Token {
+    /// From the settings.
+    ///
+    /// # Errors
+    ///
+    /// When the text cannot stand in a header.
+    pub fn new(text: &str) -> Result<Self> {
+        Ok(Self(
+            text.parse()
+                .context("peer_token: only visible ASCII characters")?,
+        ))
+    }
+}
+
+impl Interceptor for Token {
+    fn call(&mut self, mut request: Request<()>) -> Result<Request<()>, Status> {
+        request.metadata_mut().insert(PEER_TOKEN, self.0.clone());
+        Ok(request)
+    }
+}
+
+/// Connections to peers, made when first needed.
+#[derive(Debug)]
+pub struct Links {
+    token: Token,
+    channels: Mutex<Vec<(String, Channel, Arc<()>)>>,
+}
+
+/// A client of one peer.
+pub type Client = PeerClient<InterceptedService<Channel, Token>>;
+
+impl Links {
+    /// No connection yet.
+    pub fn new(token: Token) -> Self {
+        Self {
+            token,
+            channels: Mutex::default(),
+        }
+    }
+
+    /// A client of the peer at an address; connects when used.
+    pub fn client(&self, address: &str) -> Option<Client> {
+        self.channel(address).map(|(channel, _)| self.over(channel))
+    }
+
+    pub(super) fn over(&self, channel: Channel) -> Client {
+        PeerClient::with_interceptor(channel, self.token.clone())
+            .max_decoding_message_size(MESSAGE_BYTES)
+            .max_encoding_message_size(MESSAGE_BYTES)
+    }
+
+    pub(super) fn channel(&self, address: &str) -> Option<(Channel, Arc<()>)> {
+        let mut channels = self
+            .channels
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        match channels.binary_search_by(|(have, ..)| have.as_str().cmp(address)) {
+            Ok(at) => Some((channels[at].1.clone(), channels[at].2.clone())),
+            Err(at) => {
+                let channel = Endpoint::from_shared(format!("http://{address}"))
+                    .ok()?
+                    .connect_timeout(CONNECT)
+                    .tcp_nodelay(true)
+                    .connect_lazy();
+                let in_air = Arc::new(());
+                channels.insert(at, (address.to_string(), channel.clone(), in_air.clone()));
+                Some((channel, in_air))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers/serve.rs
@@ -0,0 +1,108 @@
+//! The peers' side of this process, by gRPC.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use radishstair_core::kernel::{Event, Reply};
+use radishstair_core::peer::{
+    Ack, Collect, Collected, Forward, Forwarded, Heartbeat, MESSAGE_BYTES, Pull, Pulled,
+};
+use radishstair_wire::PEER_TOKEN;
+use radishstair_wire::generated::peer_server::{Peer, PeerServer};
+use subtle::ConstantTimeEq;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+use crate::front::call;
+use crate::handle::Handle;
+
+/// Answers peers.
+#[derive(Debug)]
+pub struct Service {
+    handle: Arc<Handle>,
+    traffic: tokio::runtime::Handle,
+    caller: Arc<call::Caller>,
+}
+
+impl Service {
+    async fn ask(&self, make: impl FnOnce(radishstair_core::id::Call) -> Event) -> Result<Reply, Status> {
+        let call = self.handle.call();
+        let reply = self.handle.ask(call, make(call));
+        reply.await.map_err(|_| Status::unavailable("stopping"))
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn heartbeat(&self, request: Request<Heartbeat>) -> Result<Response<Ack>, Status> {
+        self.handle.tell(Event::Hear(request.into_inner()));
+        Ok(Response::new(Ack {}))
+    }
+
+    async fn pull(&self, request: Request<Pull>) -> Result<Response<Pulled>, Status> {
+        let pull = request.into_inner();
+        match self.ask(|call| Event::Pull(call, pull)).await? {
+            Reply::Pulled(pulled) => Ok(Response::new(pulled)),
+            _ => Err(Status::internal("unexpected reply")),
+        }
+    }
+
+    async fn collect(&self, request: Request<Collect>) -> Result<Response<Collected>, Status> {
+        let ask = request.into_inner();
+        match self.ask(|call| Event::Collect(call, ask)).await? {
+            Reply::Collected(collected) => Ok(Response::new(collected)),
+            _ => Err(Status::internal("unexpected reply")),
+        }
+    }
+
+    async fn forward(&self, request: Request<Forward>) -> Result<Response<Forwarded>, Status> {
+        let forward = request.into_inner();
+        let caller = self.caller.clone();
+        // On the traffic threads, and not bound to this connection: once the
+        // call has begun it must come to its end whoever waits.
+        let task = self.traffic.spawn(async move { caller.forwarded(forward).await });
+        match task.await {
+            Ok(answer) => Ok(Response::new(answer)),
+            Err(_) => Err(Status::internal("the call ended abnormally")),
+        }
+    }
+}
+
+/// Serves peers until the process ends.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub async fn run(
+    handle: Arc<Handle>,
+    listen: SocketAddr,
+    token: String,
+    traffic: tokio::runtime::Handle,
+    caller: Arc<call::Caller>,
+) -> Result<()> {
+    let service = PeerServer::new(Service {
+        handle,
+        traffic,
+        caller,
+    })
+    .max_decoding_message_size(MESSAGE_BYTES)
+    .max_encoding_message_size(MESSAGE_BYTES);
+    let guard = move |request: Request<()>| admit(&token, request);
+    Server::builder()
+        .tcp_nodelay(true)
+        .add_service(InterceptedService::new(service, guard))
+        .serve(listen)
+        .await
+        .with_context(|| format!("serving peers on {listen}"))
+}
+
+/// Refuses whoever lacks the shared token; compared in constant time.
+fn admit(token: &str, request: Request<()>) -> Result<Request<()>, Status> {
+    let given = request.metadata().get(PEER_TOKEN).map(|value| value.as_bytes());
+    match given {
+        Some(given) if bool::from(given.ct_eq(token.as_bytes())) => Ok(request),
+        _ => Err(Status::unauthenticated("not a peer")),
+    }
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -20,10 +20,11 @@
 use crate::control::{Control, Lines};
 use crate::front::{self, Front, call, chat};
 use crate::handle::Handle;
-use crate::peers::{self, Links, Message, Token};
+use crate::peers::links::{Links, Token};
+use crate::peers::{self, Message};
 use crate::platform::{self, Leases, WORKERS};
 use crate::settings::Settings;
-use crate::upstream::Pool;
+use crate::upstream::pool::Pool;
 
 /// Longest wait for the platform and peers to take back what was held.
 const HAND_BACK: Duration = Duration::from_secs(5);
@@ -45,7 +46,7 @@
     let (messages, outbox) = mpsc::unbounded_channel();
     let exit = start_control(settings, &handle, inputs, messages)?;
     let traffic = runtime(settings.threads, "traffic")?;
-    let pool = Pool::default();
+    let pool = Arc::new(Pool::default());
     let calls = Arc::new(call::Caller {
         handle: handle.clone(),
         pool: pool.clone(),
@@ -156,7 +157,7 @@
     let links = Arc::new(Links::new(token));
     let (listen, text) = (settings.peer_listen, settings.peer_token.clone());
     let (handle, traffic) = (handle.clone(), traffic.handle().clone());
-    let server = peers::serve(handle.clone(), listen, text, traffic, calls);
+    let server = peers::serve::run(handle.clone(), listen, text, traffic, calls);
     spawn("peers", move || {
         runtime.spawn(peers::send(handle, links, outbox));
         if let Err(err) = runtime.block_on(server) {
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -1,10 +1,12 @@
-//! Connections to runners.
+//! Connections to runners, and to the platform.
 //!
 //! What matters is how far a call got when it failed. A refused connection
 //! means that no byte went out; anything after that may have run. Calls that
-//! may not be repeated use a new connection each, as a kept one that the
-//! runner has just closed cannot be told from one that it reset midway.
+//! may not be repeated use a new connection or one that is nearly fresh, as a
+//! kept one that the runner has just closed cannot be told from one that it
+//! reset midway.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,16 +14,18 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, Response};
-use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo};
 use radishstair_core::dispatch::Start;
+use radishstair_core::time::Moment;
 use radishstair_wire::http;
 
+pub mod line;
+pub mod pool;
+
+use line::{Line, Sent};
+use pool::Pool;
+
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_millis(500);
-/// How long an idle connection is kept.
-const IDLE: Duration = Duration::from_secs(20);
 
 /// Why a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,68 +47,84 @@
     pub body: Bytes,
 }
 
-/// Connections to runners, kept for calls that may be repeated.
-#[derive(Clone, Debug)]
-pub struct Pool(legacy::Client<HttpConnector, Full<Bytes>>);
+/// An answer that has begun, and the connection that it comes on.
+#[derive(Debug)]
+pub struct Exchange {
+    line: Line,
+    address: SocketAddr,
+    /// The answer.
+    pub response: Response<Incoming>,
+}
 
-impl Default for Pool {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT));
-        let client = legacy::Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE)
-            .build(connector);
-        Self(client)
+/// A connection whose answer was read apart from it.
+#[derive(Debug)]
+pub struct Kept {
+    line: Line,
+    address: SocketAddr,
+    closes: bool,
+    kept: Option<Duration>,
+}
+
+impl Exchange {
+    /// The answer, and the connection to give back once it was read whole.
+    pub fn split(self) -> (Response<Incoming>, Kept) {
+        let headers = self.response.headers();
+        let kept = Kept {
+            closes: line::closes(headers),
+            kept: line::keeps(headers),
+            line: self.line,
+            address: self.address,
+        };
+        (self.response, kept)
     }
 }
 
-impl Pool {
-    /// Sends over a kept connection.
-    ///
-    /// # Errors
-    ///
-    /// Tells whether any byte can have gone out.
-    pub async fn send(&self, start: &Start, outgoing: &Outgoing) -> Result<Response<Incoming>, Failure> {
-        let request = request(
-            start,
-            outgoing,
-            &format!("http://{}{}", start.address, outgoing.path),
-        )?;
-        self.0
-            .request(request)
-            .await
-            .map_err(|err| match err.is_connect() {
-                true => Failure::NotSent,
-                false => Failure::Broken,
-            })
+impl Kept {
+    /// Gives the connection back; its answer was read to its end.
+    pub fn give(self, pool: &Pool, now: Moment) {
+        if !self.closes {
+            pool.give(now, self.address, self.line, self.kept);
+        }
     }
 }
 
-/// Sends over a connection of its own.
+/// Sends a call to the runner that was chosen; `alone` on a new connection.
 ///
 /// # Errors
 ///
 /// Tells whether any byte can have gone out.
-pub async fn send_alone(start: &Start, outgoing: &Outgoing) -> Result<Response<Incoming>, Failure> {
-    let request = request(start, outgoing, &outgoing.path)?;
-    let connect = tokio::net::TcpStream::connect(&start.address);
-    let stream = match tokio::time::timeout(CONNECT, connect).await {
-        Ok(Ok(stream)) => stream,
-        _ => return Err(Failure::NotSent),
+pub async fn send(
+    pool: &Pool,
+    now: Moment,
+    start: &Start,
+    outgoing: &Outgoing,
+    alone: bool,
+) -> Result<Exchange, Failure> {
+    let request = request(start, outgoing)?;
+    let address: SocketAddr = start.address.parse().map_err(|_| Failure::NotSent)?;
+    let connected = match alone {
+        true => Line::connect(address, CONNECT).await,
+        false => pool
+            .take(now, address, false, CONNECT)
+            .await
+            .map(|(line, _)| line),
     };
-    let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| Failure::NotSent)?;
-    tokio::spawn(connection);
-    sender.send_request(request).await.map_err(|_| Failure::Broken)
+    let mut line = connected.map_err(|_| Failure::NotSent)?;
+    match line.send(request).await {
+        Sent::Answer(response) => Ok(Exchange {
+            line,
+            address,
+            response,
+        }),
+        Sent::Never => Err(Failure::NotSent),
+        Sent::Maybe => Err(Failure::Broken),
+    }
 }
 
-fn request(start: &Start, outgoing: &Outgoing, uri: &str) -> Result<Request<Full<Bytes>>, Failure> {
+fn request(start: &Start, outgoing: &Outgoing) -> Result<Request<Full<Bytes>>, Failure> {
     let id = HeaderValue::from_str(&outgoing.id).map_err(|_| Failure::NotSent)?;
     let host = HeaderValue::from_str(&start.address).map_err(|_| Failure::NotSent)?;
-    Request::post(uri)
+    Request::post(&outgoing.path)
         .header(HOST, host)
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .header(http::REQUEST_ID, id)
--- a/crates/entry/src/gate/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use radishstair_core::gate::fleet::{Idle, Key};
+use radishstair_core::gate::fleet::Idle;
 use radishstair_core::time::Moment;
 
 use super::line::Line;
@@ -29,10 +29,10 @@
     idle: Idle,
 }
 
-/// Idle connections by runner.
+/// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: Mutex<Vec<(Key, Vec<Waiting>)>>,
+    idle: Mutex<Vec<(SocketAddr, Vec<Waiting>)>>,
 }
 
 impl Pool {
@@ -44,12 +44,11 @@
     pub async fn take(
         &self,
         now: Moment,
-        key: Key,
         address: SocketAddr,
         once: bool,
         limit: Duration,
     ) -> Result<(Line, bool)> {
-        while let Some(mut line) = self.pop(now, key, once) {
+        while let Some(mut line) = self.pop(now, address, once) {
             if line.is_usable().await {
                 return Ok((line, true));
             }
@@ -59,12 +58,12 @@
     }
 
     /// Gives back a connection whose answer was read to its end.
-    pub fn give(&self, now: Moment, key: Key, line: Line, kept: Option<Duration>) {
+    pub fn give(&self, now: Moment, address: SocketAddr, line: Line, kept: Option<Duration>) {
         let mut all = self.lock();
-        let at = match all.binary_search_by_key(&key, |(have, _)| *have) {
+        let at = match all.binary_search_by_key(&address, |(have, _)| *have) {
             Ok(at) => at,
             Err(at) => {
-                all.insert(at, (key, Vec::new()));
+                all.insert(at, (address, Vec::new()));
                 at
             }
         };
@@ -80,20 +79,20 @@
     }
 
     /// The connection to a runner that would be used next.
-    pub fn next(&self, key: Key) -> Option<Idle> {
+    pub fn next(&self, address: SocketAddr) -> Option<Idle> {
         let all = self.lock();
-        let at = all.binary_search_by_key(&key, |(have, _)| *have).ok()?;
+        let at = all.binary_search_by_key(&address, |(have, _)| *have).ok()?;
         all[at].1.last().map(|waiting| waiting.idle)
     }
 
     /// Closes the idle connections to a runner that is no longer the same.
-    pub fn forget(&self, key: Key) {
-        self.lock().retain(|(have, _)| *have != key);
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().retain(|(have, _)| *have != address);
     }
 
-    fn pop(&self, now: Moment, key: Key, once: bool) -> Option<Line> {
+    fn pop(&self, now: Moment, address: SocketAddr, once: bool) -> Option<Line> {
         let mut all = self.lock();
-        let at = all.binary_search_by_key(&key, |(have, _)| *have).ok()?;
+        let at = all.binary_search_by_key(&address, |(have, _)| *have).ok()?;
         let lines = &mut all[at].1;
         let last = lines.last()?.idle;
         if last.is_usable(now, once) {
@@ -106,7 +105,7 @@
         None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Key, Vec<Waiting>)>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Vec<Waiting>)>> {
         self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
--- a/tests/suite/gate/fleet.rs
+++ b/tests/suite/gate/fleet.rs
@@ -92,8 +92,9 @@
     assert!(open(&fleet, 9_000).is_empty());
     let mut again = listed(&["a"]);
     again[0].born = 2;
+    let address = again[0].address;
     let void = fleet.list(at(9_500), again);
-    assert_eq!(void, [a], "its connections are another process's");
+    assert_eq!(void, [address, address], "its connections are another process's");
     assert_eq!(open(&fleet, 9_600), ["a"]);
 }
 
