Cheap runners by the highest flow of half a minute, so that other sizes fit

A fixed number fits one size of site.

Change: cheap runners for the highest flow of the last 30 s and a quarter more, beginning with what was found; dependable ones for what is lacking now, spread over two zones at least, never in the place of cheap ones that are there.

--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -2,19 +2,20 @@
 //!
 //! Reclaimable runners cost a fraction and vanish by zone with seconds of
 //! notice. So most are cheap, and more of them than would be paid for
-//! otherwise. While those that are there cannot carry the flow of work,
-//! dependable ones are ordered in their place, in the cheapest zones first.
+//! otherwise: as many as the highest flow of the last half minute needs, and a
+//! quarter more. While those that are there cannot carry the flow of the moment,
+//! dependable ones are ordered besides, in the cheapest zones first.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::fleet::Fleet;
 use super::route::{Scaling, Table};
 use crate::time::Moment;
 
-/// Reclaimable runners of a zone.
-const RECLAIMABLE: u32 = 6;
-/// Most dependable runners of a zone.
-const COVER: u32 = 6;
+/// Reclaimable runners ordered for each one needed: they boot for four seconds,
+/// and one zone's vanish at a time.
+const HEADROOM: f64 = 1.25;
 /// Work of one runner, in prompt tokens a second: two fifths of what an engine
 /// of the users' sites reads, as the rest of its time goes to generating, and as
 /// prompts that come together must not wait for each other. At a third the
@@ -23,6 +24,8 @@
 /// How long a peak of the flow counts: bursts come in series on bad days, and
 /// runners take four seconds to boot.
 const HOLD: Duration = Duration::from_secs(8);
+/// How long a peak counts for the cheap runners at hand.
+const HOLD_CHEAP: Duration = Duration::from_secs(30);
 /// Pause between two orders for the same thing that was refused or lost.
 const AGAIN: Duration = Duration::from_millis(1_500);
 /// Time after which an order that stands is said again: an order whose answer
@@ -60,12 +63,78 @@
     }
 }
 
+/// The highest value of the last span of time.
+#[derive(Clone, Debug, Default)]
+struct High {
+    /// Values that no later one exceeds, oldest first.
+    values: VecDeque<(Moment, u32)>,
+}
+
+impl High {
+    fn rise(&mut self, now: Moment, value: u32, span: Duration) -> u32 {
+        while self.values.back().is_some_and(|(_, have)| *have <= value) {
+            self.values.pop_back();
+        }
+        self.values.push_back((now, value));
+        while self.values.front().is_some_and(|(at, _)| now.since(*at) >= span) {
+            self.values.pop_front();
+        }
+        self.values.front().map_or(value, |(_, high)| *high)
+    }
+}
+
+/// What the flow of a service needed.
+#[derive(Clone, Debug)]
+struct Peak {
+    service: String,
+    urgent: High,
+    usual: High,
+}
+
 plain! {
-    /// Most runners that a service's flow needed lately.
-    struct Peak {
-        service: String,
-        needed: u32,
-        since: Moment,
+    /// Runners that a service needs.
+    #[derive(Copy)]
+    struct Needed {
+        /// To carry what comes now.
+        urgent: u32,
+        /// To have at hand for the bursts of this day.
+        usual: u32,
+    }
+}
+
+plain! {
+    /// Runners of a zone that take new work.
+    struct Zone {
+        name: String,
+        cheap: u32,
+        dependable: u32,
+    }
+}
+
+impl Zone {
+    /// Runners needed for which a zone was sized; cheap ones have headroom.
+    fn sized_for(&self) -> f64 {
+        f64::from(self.dependable) + f64::from(self.cheap) / HEADROOM
+    }
+
+    fn of(fleet: &Fleet, service: &str, name: &str) -> Self {
+        let mut zone = Self {
+            name: name.to_string(),
+            cheap: 0,
+            dependable: 0,
+        };
+        let runners = fleet.all().map(|(_, runner)| runner);
+        let own = runners.filter(|runner| {
+            let listed = &runner.listed;
+            listed.service == service && listed.zone == name && runner.is_listed()
+        });
+        for runner in own {
+            match runner.listed.reclaimable {
+                true => zone.cheap += 1,
+                false => zone.dependable += 1,
+            }
+        }
+        zone
     }
 }
 
@@ -125,43 +194,56 @@
         if scaling.cheap.is_none() {
             return;
         }
-        let zones: Vec<&String> = by_price(scaling);
-        let cheap: u32 = zones.iter().map(|zone| reclaimable(fleet, service, zone)).sum();
-        let needed = self.needed(now, service, flow);
-        let mut lacking = needed.saturating_sub(cheap);
+        let zones: Vec<Zone> = by_price(scaling)
+            .into_iter()
+            .map(|name| Zone::of(fleet, service, name))
+            .collect();
+        let found = zones.iter().map(Zone::sized_for).sum::<f64>();
+        let peak = self.peak(now, service, flow, found as u32);
+        let cheap: u32 = zones.iter().map(|zone| zone.cheap).sum();
+        let mut lacking = peak.urgent.saturating_sub(cheap);
+        let count = zones.len() as u32;
+        // Not all in one zone: it may be cut off next.
+        let most = lacking.div_ceil(2);
         for zone in zones {
-            let dependable = lacking.min(COVER).min(scaling.most);
+            // A zone's bound holds for both kinds together; cheap runners that
+            // are there must not give way to dependable ones.
+            let room = scaling.most.saturating_sub(zone.cheap);
+            let dependable = lacking.min(most).min(room);
             lacking -= dependable;
+            let wanted = peak.usual.div_ceil(count).min(scaling.most - dependable);
             let order = |reclaimable, count| Order {
                 service: service.to_string(),
-                zone: zone.clone(),
+                zone: zone.name.clone(),
                 reclaimable,
                 count,
             };
-            let wanted = RECLAIMABLE.min(scaling.most - dependable);
             self.want(order(false, dependable));
-            self.want(order(true, wanted));
+            self.want(order(true, wanted.max(scaling.least)));
         }
     }
 
-    /// Runners that the highest flow of the last seconds needs.
-    fn needed(&mut self, now: Moment, service: &str, flow: u64) -> u32 {
-        let needed = flow.div_ceil(FLOW) as u32;
-        let found = self.peaks.iter().position(|peak| peak.service == service);
-        let at = found.unwrap_or_else(|| {
-            self.peaks.push(Peak {
+    /// Runners that the highest flow needed, lately and for longer.
+    fn peak(&mut self, now: Moment, service: &str, flow: u64, found: u32) -> Needed {
+        let known = self.peaks.iter().position(|peak| peak.service == service);
+        let at = known.unwrap_or_else(|| {
+            let mut peak = Peak {
                 service: service.to_string(),
-                needed: 0,
-                since: now,
-            });
+                urgent: High::default(),
+                usual: High::default(),
+            };
+            // What is there was sized for the usual load by whoever came before.
+            peak.usual.rise(now, found, HOLD_CHEAP);
+            self.peaks.push(peak);
             self.peaks.len() - 1
         });
         let peak = &mut self.peaks[at];
-        if needed >= peak.needed || now.since(peak.since) >= HOLD {
-            peak.needed = needed;
-            peak.since = now;
+        let needed = flow.div_ceil(FLOW) as u32;
+        let usual = peak.usual.rise(now, needed, HOLD_CHEAP);
+        Needed {
+            urgent: peak.urgent.rise(now, needed, HOLD),
+            usual: (f64::from(usual) * HEADROOM).ceil() as u32,
         }
-        peak.needed
     }
 
     fn want(&mut self, order: Order) {
@@ -199,11 +281,3 @@
     zones.sort_by(|a, b| a.1.total_cmp(&b.1));
     zones.into_iter().map(|(zone, _)| zone).collect()
 }
-
-/// Reclaimable runners of a service in a zone that take new work.
-fn reclaimable(fleet: &Fleet, service: &str, zone: &str) -> u32 {
-    let runners = fleet.all().map(|(_, runner)| runner);
-    let own = runners.filter(|runner| runner.listed.service == service && runner.listed.zone == zone);
-    own.filter(|runner| runner.listed.reclaimable && runner.is_listed())
-        .count() as u32
-}
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -280,13 +280,16 @@
     /// Sends one order; whether it was accepted.
     async fn order(&mut self, grant: Grant) -> bool {
         let now = self.shared.now();
-        let order = {
+        let (order, flow) = {
             let state = self.shared.state();
             let Some(table) = state.table.clone() else {
                 return false;
             };
-            self.planner
-                .tick(now, &table, &state.fleet, |service| state.flow(now, service))
+            let order = self
+                .planner
+                .tick(now, &table, &state.fleet, |service| state.flow(now, service));
+            let flow = order.as_ref().map(|order| state.flow(now, &order.service));
+            (order, flow)
         };
         let Some(order) = order else {
             return false;
@@ -296,6 +299,7 @@
         let status = self.send(grant, request).await;
         tracing::info!(
             event = "ordered",
+            flow,
             service = order.service,
             zone = order.zone,
             reclaimable = order.reclaimable,
