--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -155,6 +155,9 @@
     if !job.is_stream() || result.is_err() {
         shared.metrics.request(route, outcome);
     }
+    if !job.is_stream() && result.is_ok() {
+        shared.metrics.first_after(route, now.since(job.arrived));
+    }
     let (proof_ms, runners) = beliefs(&shared, now, &job.admission.service);
     tracing::info!(
         event = "request",
--- a/crates/entry/src/gate/admin.rs
+++ b/crates/entry/src/gate/admin.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use radishstair_wire::log;
 use tokio::net::TcpListener;
 
 use super::Shared;
@@ -44,7 +45,10 @@
 fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         METRICS => {
+            let trusted = shared.state().is_fresh(shared.now());
+            shared.metrics.trusted.set(i64::from(trusted));
             shared.metrics.in_flight.set(shared.in_flight() as i64);
+            shared.metrics.dropped_lines.set(log::dropped() as i64);
             answer(StatusCode::OK, shared.metrics.text())
         }
         path if path == shared.dialect.ready_path() => readiness(shared),
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -241,7 +241,7 @@
                 }
                 Attempt::Broken => {
                     tries.ran = true;
-                    if job.once() || !self.may_repeat(job, tries) {
+                    if !self.may_repeat(job, tries) {
                         return Err(self.failed(job));
                     }
                 }
@@ -255,9 +255,14 @@
     }
 
     /// Whether the request may be sent to one more runner.
+    ///
+    /// One that runs at most once and may have run must not; anything less
+    /// strict would post an entry twice.
     pub fn may_repeat(&self, job: &Job, tries: &Tries) -> bool {
         let now = self.shared.now();
-        !job.is_over(now)
+        let harmless = !tries.ran || !job.once();
+        harmless
+            && !job.is_over(now)
             && tries.sent < job.admission.route.attempts
             && self.shared.state().may_repeat(now, &job.admission.service)
     }
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -157,7 +157,7 @@
                         events = 0
                     );
                     drop(run);
-                    if job.admission.route.mode.is_idempotent() && self.may_repeat(&job, tries) {
+                    if self.may_repeat(&job, tries) {
                         continue;
                     }
                     return Err(Refusal::new(Kind::UpstreamBroken));
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -69,6 +69,8 @@
     pub trusted: Gauge,
     /// Requests in flight.
     pub in_flight: Gauge,
+    /// Log lines dropped because their writer was behind.
+    pub dropped_lines: Gauge,
     /// Processor time of the control thread.
     pub control_micros: Counter,
     registry: Arc<Registry>,
@@ -88,6 +90,7 @@
             version: Gauge::default(),
             trusted: Gauge::default(),
             in_flight: Gauge::default(),
+            dropped_lines: Gauge::default(),
             control_micros: Counter::default(),
             registry: Arc::default(),
         };
@@ -128,6 +131,11 @@
             self.refused_connections.clone(),
         );
         registry.register("platform_calls", "Calls to the platform", self.platform.clone());
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped because their writer was behind",
+            self.dropped_lines.clone(),
+        );
         registry.register_with_unit(
             "heartbeat",
             "Heartbeats sent",
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -1,5 +1,8 @@
 //! Logs: one line of key=value pairs for each event.
 
+use std::sync::OnceLock;
+
+use tracing_appender::non_blocking::ErrorCounter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -34,29 +37,23 @@
         .lossy(true)
         .thread_name("log")
         .finish(std::io::stdout());
-    let dropped = writer.error_counter();
-    let lines = tracing_logfmt::builder().layer().with_writer(writer);
     // A second start in one process (tests) keeps the first.
+    let _ = DROPPED.set(writer.error_counter());
+    let lines = tracing_logfmt::builder().layer().with_writer(writer);
     let _ = tracing_subscriber::registry()
         .with(filter())
         .with(lines)
         .try_init();
-    Guard {
-        dropped,
-        _worker: worker,
-    }
+    Guard(worker)
 }
 
 /// Keeps the writer of the log running.
 #[derive(Debug)]
-pub struct Guard {
-    dropped: tracing_appender::non_blocking::ErrorCounter,
-    _worker: tracing_appender::non_blocking::WorkerGuard,
-}
+pub struct Guard(#[allow(dead_code)] tracing_appender::non_blocking::WorkerGuard);
+
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 
-impl Guard {
-    /// Lines dropped so far.
-    pub fn dropped(&self) -> usize {
-        self.dropped.dropped_lines()
-    }
+/// Lines dropped so far by the bounded log.
+pub fn dropped() -> usize {
+    DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
 }
