Zones that cannot be reached rest as a whole; silent resumable streams go on elsewhere

Ruled out: the list (the entries were right; the way to them was cut).

Change: after two unreachable runners of another zone the zone rests for 0.8 s, unless nothing else is open; connecting takes 200 ms at most; a resumable stream that is silent for twice the pause that its route allows, 1.5 s at least, goes on at another runner, the former connection closed first. The log of a stream's request tells how often it was sent.

--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -26,6 +26,11 @@
 const REST: Duration = Duration::from_millis(400);
 /// Longest rest; a runner that is back serves again within this time.
 const REST_MOST: Duration = Duration::from_secs(4);
+/// Unreachable runners of one zone after which the whole zone rests.
+const ZONE_SIGNS: usize = 2;
+/// Rest of a zone that seems cut off; short, as its runners are tried again one
+/// by one then.
+const ZONE_REST: Duration = Duration::from_millis(800);
 /// Rest of a runner that said it was full.
 const FULL_REST: Duration = Duration::from_millis(150);
 
@@ -172,6 +177,8 @@
     ids: Vec<(String, Key)>,
     listed: Option<Moment>,
     back: Option<Moment>,
+    /// Zones that cannot be reached, and until when they rest.
+    cut: Vec<(String, Moment)>,
 }
 
 impl Fleet {
@@ -183,6 +190,7 @@
             ids: Vec::new(),
             listed: None,
             back: None,
+            cut: Vec::new(),
         }
     }
 
@@ -283,8 +291,39 @@
 
     /// Runners of a service that take new work.
     pub fn open<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
+        let own = move |runner: &Runner| runner.listed.service == service && runner.is_open(now);
+        let near = move |runner: &Runner| !self.is_cut(now, &runner.listed.zone);
+        // A zone that seems cut off is better than none.
+        let any = self.arena.iter().any(|runner| own(runner) && near(runner));
         self.all()
-            .filter(move |(_, runner)| runner.listed.service == service && runner.is_open(now))
+            .filter(move |(_, runner)| own(runner) && (!any || near(runner)))
+    }
+
+    /// Whether a zone seems cut off from this host.
+    fn is_cut(&self, now: Moment, zone: &str) -> bool {
+        self.cut
+            .iter()
+            .any(|(have, until)| have == zone && !now.reached(*until))
+    }
+
+    /// Takes note of a runner of another zone that could not be reached.
+    ///
+    /// When a zone is cut off, each of its runners would cost one request the
+    /// time-out of a connection, and a caller that meets four of them is
+    /// refused. After the second one the zone rests as a whole.
+    fn suspect(&mut self, now: Moment, zone: &str) {
+        if zone == self.zone {
+            return;
+        }
+        let resting = self
+            .arena
+            .iter()
+            .filter(|runner| runner.listed.zone == zone && runner.is_listed() && !now.reached(runner.rest));
+        if resting.count() < ZONE_SIGNS {
+            return;
+        }
+        self.cut.retain(|(have, _)| have != zone);
+        self.cut.push((zone.to_string(), now + ZONE_REST));
     }
 
     /// Tells which idle connection to a runner would be used next.
@@ -334,13 +373,18 @@
         let Some(runner) = self.arena.get_mut(key.index()) else {
             return;
         };
+        let zone = runner.listed.zone.clone();
         match sign {
-            Sign::Sound => runner.failures = 0,
+            Sign::Sound => {
+                runner.failures = 0;
+                self.cut.retain(|(have, _)| *have != zone);
+            }
             Sign::Full => runner.rest = now + FULL_REST,
             Sign::Replaced => runner.replaced = true,
             Sign::Unreachable => {
                 runner.rest = now + (REST * 2u32.saturating_pow(runner.failures)).min(REST_MOST);
                 runner.failures = (runner.failures + 1).min(5);
+                self.suspect(now, &zone);
             }
             Sign::Broken => {
                 // One broken answer in fifty is usual on some days; only a
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -101,7 +101,7 @@
 }
 
 /// What one request has tried.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Tries {
     tried: Vec<Key>,
     /// Runners that it was sent to.
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -5,6 +5,7 @@
 //! dropping its connection, so that two runners never work on one stream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_stream::stream;
 use bytes::Bytes;
@@ -174,8 +175,7 @@
                 outcome: "left",
                 _flight: flight,
             };
-            let tries = std::mem::take(tries);
-            return Ok(answer(&parts, self.body(trail, run, events, tries)));
+            return Ok(answer(&parts, self.body(trail, run, events, tries.clone())));
         }
     }
 
@@ -195,10 +195,18 @@
     }
 
     /// The next piece, or `None` when the caller's time is over.
+    ///
+    /// A resumable stream whose runner falls silent counts as broken, to go on
+    /// elsewhere: a runner behind a cut sends no reset, and probes take seconds
+    /// to show it. A silence after which another runner would not help, or that
+    /// no other may end, is waited out.
     async fn next(&self, job: &Job, run: &mut Run) -> Option<Piece> {
-        match job.left(self.shared.now()) {
-            Some(left) => timeout(left, run.next()).await.ok(),
-            None => Some(run.next().await),
+        let left = job.left(self.shared.now()).unwrap_or(FOREVER);
+        let patience = patience(job, run).unwrap_or(FOREVER);
+        match timeout(left.min(patience), run.next()).await {
+            Ok(piece) => Some(piece),
+            Err(_) if patience < left => Some(Piece::Broken),
+            Err(_) => None,
         }
     }
 
@@ -288,6 +296,22 @@
     }
 }
 
+/// Shortest silence that ends a resumable stream's run: an engine under load
+/// pauses for most of a second.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// The same in pauses that the operator allows.
+const SILENCE_GAPS: u32 = 2;
+/// No limit.
+const FOREVER: Duration = Duration::from_secs(24 * 3_600);
+
+/// Longest silence of a run that another one could follow.
+fn patience(job: &Job, run: &Run) -> Option<Duration> {
+    let resumable = job.admission.route.mode == Mode::Stream { resumable: true };
+    run.last.filter(|_| resumable)?;
+    let gap = job.admission.route.gap?;
+    Some((gap * SILENCE_GAPS).max(SILENCE))
+}
+
 fn answer(parts: &response::Parts, body: Body) -> Response<Body> {
     let mut answer = reply::whole(parts, Bytes::new());
     *answer.body_mut() = body;
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -15,9 +15,9 @@
 
 use super::line::Line;
 
-/// Longest time to establish a connection: 1 ms is usual, a lost packet takes
-/// a second, and another runner answers sooner than that.
-pub const CONNECT: Duration = Duration::from_millis(300);
+/// Longest time to establish a connection: 1 to 3 ms are usual, a lost packet
+/// takes a second, and another runner answers sooner than that.
+pub const CONNECT: Duration = Duration::from_millis(200);
 /// Idle time of the runner where it does not say it.
 const KEPT: Duration = Duration::from_secs(3);
 /// Most idle connections to one runner.
--- a/tests/suite/gate/fleet.rs
+++ b/tests/suite/gate/fleet.rs
@@ -112,3 +112,23 @@
     assert!(idle.is_usable(at(9_000), false));
     assert!(!idle.is_usable(at(9_400), false));
 }
+
+/// Callers wait for one dead connection after the other. A zone is cut off:
+/// after two of its runners could not be reached, the others are not tried
+/// either, but a zone that seems cut off is better than none.
+#[test]
+fn a_zone_that_cannot_be_reached_rests_as_a_whole() {
+    let mut fleet = Fleet::new("zone-a");
+    let mut items = listed(&["a"]);
+    items.extend(["b1", "b2", "b3"].map(|id| runner(id, "engines", "zone-b")));
+    fleet.list(at(0), items);
+    let key = |fleet: &Fleet, id: &str| fleet.find(id).expect("it is known");
+    fleet.sign(at(10), key(&fleet, "b1"), Sign::Unreachable);
+    assert_eq!(open(&fleet, 20), ["a", "b2", "b3"]);
+    fleet.sign(at(30), key(&fleet, "b2"), Sign::Unreachable);
+    assert_eq!(open(&fleet, 40), ["a"]);
+    fleet.sign(at(50), key(&fleet, "a"), Sign::Unreachable);
+    assert_eq!(open(&fleet, 60), ["b3"], "better than none");
+    fleet.sign(at(70), key(&fleet, "b3"), Sign::Sound);
+    assert_eq!(open(&fleet, 500), ["a", "b1", "b2", "b3"], "it is reached again");
+}
