The document comes before a long list; one copy of what stood twice

Cause: at 300 hosts the document waited behind seven pages of runners, each round, and the store refused reads past its rate; configuration was in force after 3.6 s.

Ruled out: watching changes instead (each runner's entry changes every 1.2 s).

Change: the document is put in force as its page comes; a list of more than three pages is read in every second round. The small sites read one page, as before.

Clean-up: names and outcomes of store calls, and the count of requests in flight, stood in both fronts and have one copy now.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -53,3 +53,28 @@
         Lost,
     }
 }
+
+impl Call {
+    /// Name for counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Call::Swap { .. } => "swap",
+            Call::Get { .. } => "get",
+            Call::Range { .. } => "range",
+            Call::Remove { .. } => "remove",
+            Call::Watch { .. } => "watch",
+        }
+    }
+}
+
+impl Answer {
+    /// How it came out, for counters.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Answer::Written(_) | Answer::Found(_) => "ok",
+            Answer::Conflict(_) => "conflict",
+            Answer::Refused => "refused",
+            Answer::Lost => "lost",
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flight.rs
@@ -0,0 +1,31 @@
+//! Counting requests in flight, for a graceful stop that waits for all of them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Requests in flight.
+#[derive(Clone, Debug, Default)]
+pub struct Count(Arc<AtomicUsize>);
+
+impl Count {
+    /// Counts one more until the guard is dropped.
+    pub fn begin(&self) -> Flight {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        Flight(self.0.clone())
+    }
+
+    /// How many there are.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
+/// One request in flight.
+#[derive(Debug)]
+pub struct Flight(Arc<AtomicUsize>);
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/entry/src/front/chat/job.rs
+++ b/crates/entry/src/front/chat/job.rs
@@ -18,8 +18,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Piece, Usage};
+use crate::flight::Flight;
 use crate::front::sse::Splitter;
-use crate::handle::{Flight, Handle};
+use crate::handle::Handle;
 use crate::metrics::Class;
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, Kept, Outgoing, leaves};
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -6,7 +6,7 @@
 //! holds duties, traffic threads forward.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
@@ -17,6 +17,7 @@
 use radishstair_core::time::Moment;
 
 use crate::clock::Clock;
+use crate::flight::{self, Flight};
 use crate::metrics::Metrics;
 use dialect::Dialect;
 
@@ -56,7 +57,7 @@
     pub stopping: AtomicBool,
     state: Mutex<State>,
     civil: Mutex<Civil>,
-    running: AtomicUsize,
+    running: flight::Count,
     peers: ArcSwap<Vec<SocketAddr>>,
 }
 
@@ -76,7 +77,7 @@
             stopping: AtomicBool::new(false),
             state: Mutex::new(state),
             civil: Mutex::new(civil),
-            running: AtomicUsize::new(0),
+            running: flight::Count::default(),
             peers: ArcSwap::default(),
         })
     }
@@ -103,14 +104,13 @@
     }
 
     /// Counts a request in flight until the guard is dropped.
-    pub fn flight(self: &Arc<Self>) -> Flight {
-        self.running.fetch_add(1, Ordering::SeqCst);
-        Flight(self.clone())
+    pub fn flight(&self) -> Flight {
+        self.running.begin()
     }
 
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
-        self.running.load(Ordering::SeqCst)
+        self.running.get()
     }
 
     /// What this run publishes of itself.
@@ -140,13 +140,3 @@
         state.tally.add(window, customer);
     }
 }
-
-/// One request in flight.
-#[derive(Debug)]
-pub struct Flight(Arc<Shared>);
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::SeqCst);
-    }
-}
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -24,6 +24,7 @@
 use super::dialect::Head;
 use super::forward::{Forwarder, Job, Tries, ask, come_back};
 use super::reply::{self, Body};
+use crate::flight::Flight;
 
 /// Longest time for a body to come where the caller names no deadline.
 const BODY: Duration = Duration::from_secs(15);
@@ -137,7 +138,7 @@
     pass(forwarder, job, flight).await
 }
 
-async fn pass(forwarder: Arc<Forwarder>, job: Job, flight: super::Flight) -> Result<Response<Body>, Refusal> {
+async fn pass(forwarder: Arc<Forwarder>, job: Job, flight: Flight) -> Result<Response<Body>, Refusal> {
     let shared = forwarder.shared.clone();
     let job = Arc::new(job);
     let mut tries = Tries::default();
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -19,10 +19,10 @@
 use radishstair_core::gate::route::Mode;
 use tokio::time::timeout;
 
-use super::Flight;
 use super::events::{Cutter, Events};
 use super::forward::{Forwarder, Job, Opened, Tries};
 use super::reply::{self, Body, Cut};
+use crate::flight::Flight;
 
 /// A runner's part in a stream.
 struct Run {
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -23,6 +23,10 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// Longest wait for one page; a slow store takes a quarter of a second.
 const PAGE: Duration = Duration::from_millis(700);
+/// Pages up to which the list of runners is read in each round. Longer ones are
+/// read in every second round, so that hundreds of hosts stay inside the
+/// store's rate; the document stands on the first page and is read in each.
+const FEW_PAGES: usize = 3;
 /// Keys of a page that are asked for.
 const LIMIT: u32 = 500;
 
@@ -47,6 +51,7 @@
         own,
         odd: Vec::new(),
         lost_since: None,
+        skip: false,
     };
     loop {
         let began = reader.shared.now();
@@ -65,17 +70,22 @@
     /// Entries that could not be read, so that each is logged once.
     odd: Vec<(String, u64)>,
     lost_since: Option<Moment>,
+    /// Whether the next round reads the document only.
+    skip: bool,
 }
 
 impl Reader {
     /// One round; the pause until the next, or `None` when nobody listens.
     async fn round(&mut self, began: Moment) -> Option<Duration> {
-        let Some(entries) = self.read().await else {
+        let Some(entries) = self.read(began).await else {
             self.lost(began);
             return Some(AGAIN);
         };
         self.regained(began);
-        self.apply(began, &entries);
+        let Some(entries) = entries else {
+            return Some(ROUND.saturating_sub(self.shared.now().since(began)));
+        };
+        self.list(began, &entries);
         let own = entries
             .into_iter()
             .filter(|entry| entry.key.starts_with(PREFIX))
@@ -91,32 +101,44 @@
         Some(ROUND.saturating_sub(spent))
     }
 
-    /// All keys, or `None` if a page was lost.
-    async fn read(&self) -> Option<Vec<Entry>> {
+    /// All keys, or none of them in a round that reads the document only;
+    /// `None` if a page was lost.
+    ///
+    /// The document is put in force as soon as its page has come: behind a long
+    /// list it would wait for all pages, and be lost with any of them.
+    async fn read(&mut self, began: Moment) -> Option<Option<Vec<Entry>>> {
+        let document = self.shared.dialect.keys().document;
         let mut all: Vec<Entry> = Vec::new();
+        let mut pages = 0;
         loop {
             let call = Call::Range {
                 prefix: String::new(),
                 after: all.last().map(|entry| entry.key.clone()).unwrap_or_default(),
                 limit: LIMIT,
             };
+            let sent = if pages == 0 { began } else { self.shared.now() };
             let (answer, more) = ask(&self.shared, &self.asker, &call, PAGE).await;
             let Answer::Found(page) = answer else {
                 return None;
             };
+            pages += 1;
+            if let Some(entry) = page.iter().find(|entry| entry.key == document) {
+                self.configure(sent, entry);
+                if std::mem::take(&mut self.skip) {
+                    return Some(None);
+                }
+            }
             let more = more && !page.is_empty();
             all.extend(page);
             if !more {
-                return Some(all);
+                self.skip = pages > FEW_PAGES;
+                return Some(Some(all));
             }
         }
     }
 
-    fn apply(&mut self, sent: Moment, entries: &[Entry]) {
+    fn list(&mut self, sent: Moment, entries: &[Entry]) {
         let keys = self.shared.dialect.keys();
-        if let Some(entry) = entries.iter().find(|entry| entry.key == keys.document) {
-            self.configure(sent, entry);
-        }
         let listed = entries.iter().filter(|entry| entry.key.starts_with(keys.runners));
         let listed: Vec<&Entry> = listed.collect();
         let runners: Vec<Listed> = listed
@@ -202,25 +224,6 @@
         Asked::Never => (Answer::Refused, false),
         Asked::Lost => (Answer::Lost, false),
     };
-    shared.metrics.platform_call(name(call), outcome(&answer));
+    shared.metrics.platform_call(call.name(), answer.outcome());
     (answer, more)
 }
-
-fn name(call: &Call) -> &'static str {
-    match call {
-        Call::Swap { .. } => "swap",
-        Call::Get { .. } => "get",
-        Call::Range { .. } => "range",
-        Call::Remove { .. } => "remove",
-        Call::Watch { .. } => "watch",
-    }
-}
-
-fn outcome(answer: &Answer) -> &'static str {
-    match answer {
-        Answer::Written(_) | Answer::Found(_) => "ok",
-        Answer::Conflict(_) => "conflict",
-        Answer::Refused => "refused",
-        Answer::Lost => "lost",
-    }
-}
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -2,7 +2,7 @@
 //! thread.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::Sender;
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::flight::{self, Flight};
 use crate::metrics::Metrics;
 
 /// An event, with whoever waits for the reply to it.
@@ -47,7 +48,7 @@
     pub metrics: Metrics,
     inputs: Sender<Input>,
     next: AtomicU64,
-    running: AtomicUsize,
+    running: flight::Count,
 }
 
 impl Handle {
@@ -64,7 +65,7 @@
             metrics: Metrics::default(),
             inputs,
             next: AtomicU64::new(1),
-            running: AtomicUsize::new(0),
+            running: flight::Count::default(),
         })
     }
 
@@ -106,14 +107,13 @@
 
     /// Counts a request in flight until the guard is dropped; a graceful stop
     /// waits for all of them.
-    pub fn flight(self: &Arc<Self>) -> Flight {
-        self.running.fetch_add(1, Ordering::SeqCst);
-        Flight(self.clone())
+    pub fn flight(&self) -> Flight {
+        self.running.begin()
     }
 
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
-        self.running.load(Ordering::SeqCst)
+        self.running.get()
     }
 
     /// Address of a live peer.
@@ -123,13 +123,3 @@
         Some(card.address.clone())
     }
 }
-
-/// One request in flight.
-#[derive(Debug)]
-pub struct Flight(Arc<Handle>);
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::SeqCst);
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod clock;
 pub mod control;
+pub mod flight;
 pub mod front;
 pub mod gate;
 pub mod handle;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -8,12 +8,11 @@
 use radishstair_core::kernel::{Event, calls};
 use radishstair_core::lease::Grant;
 use radishstair_core::order::Order;
-use radishstair_core::store::{Answer, Call, Token};
+use radishstair_core::store::{Call, Token};
 use radishstair_core::usage::report::Seal;
 use radishstair_wire::platform::{Client, Report};
 
 use crate::handle::Handle;
-use crate::metrics;
 
 /// Threads for short calls.
 pub const WORKERS: usize = 6;
@@ -60,7 +59,7 @@
         let event = match job {
             Job::Store(token, call) => {
                 let answer = client.store(&call, leases.of(client, &call));
-                count(handle, name(&call), outcome(&answer));
+                count(handle, call.name(), answer.outcome());
                 Event::Stored(token, answer)
             }
             Job::Report(grant, seal) => Event::Reported(report(handle, client, grant, seal)),
@@ -146,29 +145,6 @@
     }
 }
 
-fn name(call: &Call) -> &'static str {
-    match call {
-        Call::Swap { .. } => "swap",
-        Call::Get { .. } => "get",
-        Call::Range { .. } => "range",
-        Call::Remove { .. } => "remove",
-        Call::Watch { .. } => "watch",
-    }
-}
-
-fn outcome(answer: &Answer) -> &'static str {
-    match answer {
-        Answer::Written(_) | Answer::Found(_) => "ok",
-        Answer::Conflict(_) => "conflict",
-        Answer::Refused => "refused",
-        Answer::Lost => "lost",
-    }
-}
-
 fn count(handle: &Handle, call: &'static str, outcome: &'static str) {
-    handle
-        .metrics
-        .platform
-        .get_or_create(&metrics::Platform { call, outcome })
-        .inc();
+    handle.metrics.platform_call(call, outcome);
 }
