--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -27,6 +27,7 @@
 pub mod duty;
 pub mod events;
 pub mod forward;
+pub mod job;
 pub mod peers;
 pub mod reply;
 pub mod run;
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -22,7 +22,8 @@
 
 use super::Shared;
 use super::dialect::Head;
-use super::forward::{Forwarder, Job, Tries, ask, come_back};
+use super::forward::{Forwarder, come_back};
+use super::job::{Job, Tries, ask};
 use super::reply::{self, Body};
 use crate::flight::Flight;
 
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -11,19 +11,18 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HOST};
-use hyper::http::{request, response};
+use hyper::header::CONTENT_ENCODING;
+use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::fleet::{Key, Sign};
-use radishstair_core::gate::place::Demand;
 use radishstair_core::gate::route::Mode;
-use radishstair_core::gate::{Admission, Ask};
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
 use super::Shared;
-use super::dialect::{Head, Mark, Pass};
+use super::dialect::{Mark, Pass};
+use super::job::{Job, Tries};
 use super::reply::{self, Body};
 use crate::upstream::line::{self, Line, Sent};
 use crate::upstream::pool::{self, Pool};
@@ -35,82 +34,6 @@
 /// Longest time to read a refusal to its end, so that its connection serves on.
 const DRAIN: Duration = Duration::from_millis(50);
 
-/// A caller's request, read whole and admitted.
-#[derive(Debug)]
-pub struct Job {
-    /// Its head as it came.
-    pub parts: request::Parts,
-    /// What the head says.
-    pub head: Head,
-    /// Its body.
-    pub body: Bytes,
-    /// What the document says of it.
-    pub admission: Admission,
-    /// When its head was read.
-    pub arrived: Moment,
-    /// When the caller must have its final answer.
-    pub until: Option<Moment>,
-}
-
-impl Job {
-    /// Time left, if there is a limit.
-    pub fn left(&self, now: Moment) -> Option<Duration> {
-        self.until.map(|until| now.until(until))
-    }
-
-    /// Whether the time is over.
-    pub fn is_over(&self, now: Moment) -> bool {
-        self.until.is_some_and(|until| now.reached(until))
-    }
-
-    fn once(&self) -> bool {
-        !self.admission.route.mode.is_idempotent()
-    }
-
-    /// Whether the answer comes as events.
-    pub fn is_stream(&self) -> bool {
-        matches!(self.admission.route.mode, Mode::Stream { .. })
-    }
-
-    /// What was asked, for a second look at the document.
-    pub fn ask(&self) -> Ask<'_> {
-        ask(&self.parts, &self.head)
-    }
-
-    fn demand(&self, draw: u64) -> Demand {
-        Demand {
-            service: self.admission.service.clone(),
-            prompt: self.head.prompt,
-            output: self.head.hint.unwrap_or(self.head.output).min(self.head.output),
-            parts: self.head.parts.clone(),
-            once: self.once(),
-            draw,
-        }
-    }
-}
-
-/// What a head asks of the document.
-pub fn ask<'a>(parts: &'a request::Parts, head: &'a Head) -> Ask<'a> {
-    let host = parts.headers.get(HOST);
-    Ask {
-        host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
-        path: parts.uri.path(),
-        key: head.key.as_deref(),
-        draw: rand::random(),
-    }
-}
-
-/// What one request has tried.
-#[derive(Clone, Debug, Default)]
-pub struct Tries {
-    tried: Vec<Key>,
-    /// Runners that it was sent to.
-    pub sent: u32,
-    unreachable: u32,
-    /// Whether it may have run.
-    pub ran: bool,
-}
-
 /// A place on a runner; dropping it gives the place back.
 #[derive(Debug)]
 pub struct Slot {
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -20,7 +20,8 @@
 use tokio::time::timeout;
 
 use super::events::{Cutter, Events};
-use super::forward::{Forwarder, Job, Opened, Tries};
+use super::forward::{Forwarder, Opened};
+use super::job::{Job, Tries};
 use super::reply::{self, Body, Cut};
 use crate::flight::Flight;
 
