--- a/tests/suite/gate.rs
+++ b/tests/suite/gate.rs
@@ -7,4 +7,5 @@
 mod lease;
 mod limits;
 mod place;
+mod schedule;
 mod usage;
