What a round has read is a type of its own; names as a newcomer reads them

No change of behaviour: an option of an option told whole, document only and lost rounds apart; the store's client was called a pool. The adapter's 47 tests pass.

--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -43,10 +43,10 @@
 pub const PREFIX: &str = "radishstair/";
 
 /// Reads round after round until `own` is closed.
-pub async fn run(shared: Arc<Shared>, pool: Arc<Asker>, runners: Arc<Pool>, own: mpsc::Sender<Own>) {
+pub async fn run(shared: Arc<Shared>, store: Arc<Asker>, runners: Arc<Pool>, own: mpsc::Sender<Own>) {
     let mut reader = Reader {
         shared,
-        asker: pool,
+        store,
         runners,
         own,
         odd: Vec::new(),
@@ -62,9 +62,19 @@
     }
 }
 
+/// What one round has read.
+enum Read {
+    /// All keys.
+    Whole(Vec<Entry>),
+    /// The document only.
+    Document,
+    /// Nothing, or not all: a page was lost.
+    Lost,
+}
+
 struct Reader {
     shared: Arc<Shared>,
-    asker: Arc<Asker>,
+    store: Arc<Asker>,
     runners: Arc<Pool>,
     own: mpsc::Sender<Own>,
     /// Entries that could not be read, so that each is logged once.
@@ -77,14 +87,18 @@
 impl Reader {
     /// One round; the pause until the next, or `None` when nobody listens.
     async fn round(&mut self, began: Moment) -> Option<Duration> {
-        let Some(entries) = self.read(began).await else {
-            self.lost(began);
-            return Some(AGAIN);
+        let entries = match self.read(began).await {
+            Read::Whole(entries) => entries,
+            Read::Document => {
+                self.regained(began);
+                return Some(self.pause(began));
+            }
+            Read::Lost => {
+                self.lost(began);
+                return Some(AGAIN);
+            }
         };
         self.regained(began);
-        let Some(entries) = entries else {
-            return Some(ROUND.saturating_sub(self.shared.now().since(began)));
-        };
         self.list(began, &entries);
         let own = entries
             .into_iter()
@@ -97,16 +111,20 @@
         if let Err(mpsc::error::TrySendError::Closed(_)) = told {
             return None;
         }
-        let spent = self.shared.now().since(began);
-        Some(ROUND.saturating_sub(spent))
+        Some(self.pause(began))
+    }
+
+    /// What is left of a round.
+    fn pause(&self, began: Moment) -> Duration {
+        ROUND.saturating_sub(self.shared.now().since(began))
     }
 
-    /// All keys, or none of them in a round that reads the document only;
-    /// `None` if a page was lost.
+    /// All keys, or the document only where the list is long and was read in the
+    /// round before.
     ///
     /// The document is put in force as soon as its page has come: behind a long
     /// list it would wait for all pages, and be lost with any of them.
-    async fn read(&mut self, began: Moment) -> Option<Option<Vec<Entry>>> {
+    async fn read(&mut self, began: Moment) -> Read {
         let document = self.shared.dialect.keys().document;
         let mut all: Vec<Entry> = Vec::new();
         let mut pages = 0;
@@ -117,22 +135,22 @@
                 limit: LIMIT,
             };
             let sent = if pages == 0 { began } else { self.shared.now() };
-            let (answer, more) = ask(&self.shared, &self.asker, &call, PAGE).await;
+            let (answer, more) = ask(&self.shared, &self.store, &call, PAGE).await;
             let Answer::Found(page) = answer else {
-                return None;
+                return Read::Lost;
             };
             pages += 1;
             if let Some(entry) = page.iter().find(|entry| entry.key == document) {
                 self.configure(sent, entry);
                 if std::mem::take(&mut self.skip) {
-                    return Some(None);
+                    return Read::Document;
                 }
             }
             let more = more && !page.is_empty();
             all.extend(page);
             if !more {
                 self.skip = pages > FEW_PAGES;
-                return Some(Some(all));
+                return Read::Whole(all);
             }
         }
     }
