--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -15,7 +15,6 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use radishstair_core::config::view::{Caller, View};
 use radishstair_core::error::{Kind, Refusal, Repeat};
 use radishstair_core::kernel::{Event, Reply};
@@ -25,6 +24,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::handle::Handle;
+use crate::serve;
 
 pub mod call;
 pub mod chat;
@@ -88,23 +88,16 @@
     }
 }
 
-async fn connection(front: Arc<Front>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+async fn connection(front: Arc<Front>, stream: TcpStream, stop: watch::Receiver<bool>) {
     let service = service_fn(move |request| {
         let front = front.clone();
         async move { Ok::<_, Infallible>(front.handle(request).await) }
     });
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD)
-        .max_buf_size(HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    tokio::select! {
-        _ = served.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => {}
-    }
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    let limits = serve::Limits {
+        head_time: HEAD,
+        head: HEAD_BYTES,
+    };
+    serve::connection(stream, limits, service, stop).await;
 }
 
 /// A clear refusal past the bound, instead of a connection that hangs.
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -11,7 +11,6 @@
 use hyper::http::request;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::Admission;
 use radishstair_core::gate::route::Limits;
@@ -26,6 +25,7 @@
 use super::job::{Job, Tries, ask};
 use super::reply::{self, Body};
 use crate::flight::Flight;
+use crate::serve;
 
 /// Longest time for a body to come where the caller names no deadline.
 const BODY: Duration = Duration::from_secs(15);
@@ -69,7 +69,7 @@
     state.table.as_ref().map(|table| table.limits).unwrap_or_default()
 }
 
-async fn connection(forwarder: Arc<Forwarder>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+async fn connection(forwarder: Arc<Forwarder>, stream: TcpStream, stop: watch::Receiver<bool>) {
     // A caller's connection works without it, only slower.
     let _ = stream.set_nodelay(true);
     let limits = limits(&forwarder.shared);
@@ -79,19 +79,11 @@
     });
     // The time for a head also runs while a connection is idle, so it must not
     // be shorter than the idle time that callers were told.
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle.max(limits.head_time))
-        .max_buf_size(limits.head.max(HEAD_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    tokio::select! {
-        _ = served.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => {}
-    }
-    served.as_mut().graceful_shutdown();
-    // How it ends is logged with its request.
-    let _ = served.await;
+    let limits = serve::Limits {
+        head_time: limits.idle.max(limits.head_time),
+        head: limits.head.max(HEAD_BUFFER),
+    };
+    serve::connection(stream, limits, service, stop).await;
 }
 
 async fn handle(forwarder: Arc<Forwarder>, request: Request<Incoming>) -> Response<Body> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod peers;
 pub mod platform;
 pub mod run;
+pub mod serve;
 pub mod settings;
 pub mod upstream;
