Last reading: one rule each for windows, resumable streams and taking a connection

Ruled out: sharing the two accept loops (they refuse past their bound differently, so it would be a change of behaviour) and the two cost loops of placement (they look alike only).

Change: the existing pieces are called, what was dead is gone.

--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -199,11 +199,6 @@
         self.listed.is_some()
     }
 
-    /// When the list was last read.
-    pub fn listed_at(&self) -> Option<Moment> {
-        self.listed
-    }
-
     /// Takes the whole list, as read by a question that left at `sent`.
     /// Returns the addresses at which another process now listens, so that
     /// connections to the former one are void.
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -95,8 +95,11 @@
 
     /// Civil time in milliseconds, free of jumps.
     pub fn civil(&self, now: Moment) -> u64 {
-        let mut civil = self.civil.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        civil.now(now)
+        self.clock_of_windows().now(now)
+    }
+
+    fn clock_of_windows(&self) -> MutexGuard<'_, Civil> {
+        self.civil.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     /// Whether the process was told to stop.
@@ -135,9 +138,9 @@
         let Some(customer) = customer else {
             return;
         };
-        let civil = self.civil(self.now());
+        let now = self.now();
         let mut state = self.state();
-        let window = civil / (state.bounds.usage_window_s * 1_000).max(1);
+        let window = self.clock_of_windows().window(now, state.bounds.usage_window_s);
         state.tally.add(window, customer);
     }
 }
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -10,7 +10,7 @@
 use hyper::StatusCode;
 use radishstair_core::gate::report::{self, Reporter};
 use radishstair_core::gate::supply::Planner;
-use radishstair_core::gate::tally::Record;
+use radishstair_core::gate::tally::{Record, Window};
 use radishstair_core::lease::{Grant, Lease, Terms};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
@@ -263,7 +263,7 @@
         }
     }
 
-    async fn send_report(&mut self, grant: Grant, window: &radishstair_core::gate::tally::Window) -> bool {
+    async fn send_report(&mut self, grant: Grant, window: &Window) -> bool {
         let host = self.shared.settings.load().host.clone();
         let request = self.shared.dialect.report(&host, grant.fence, window);
         let status = self.send(grant, request).await;
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -211,7 +211,7 @@
         let now = self.shared.now();
         let limit = job.left(now).unwrap_or(pool::CONNECT);
         let taken = self.pool.take(now, slot.address, job.once(), limit).await;
-        let (mut line, _reused) = match taken {
+        let mut line = match taken {
             Ok(taken) => taken,
             Err(err) => {
                 tracing::info!(event = "runner-unreachable", request = job.head.id, runner = slot.id, reason = %format!("{err:#}"));
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -16,7 +16,6 @@
 use hyper::http::response;
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::fleet::Sign;
-use radishstair_core::gate::route::Mode;
 use tokio::time::timeout;
 
 use super::events::{Cutter, Events};
@@ -266,8 +265,7 @@
 
     /// Another runner that goes on after `last`.
     async fn resume(&self, job: &Job, last: Option<u64>, tries: &mut Tries) -> Option<Run> {
-        let resumable = job.admission.route.mode == Mode::Stream { resumable: true };
-        let last = last.filter(|_| resumable)?;
+        let last = last.filter(|_| !job.once())?;
         if !self.may_repeat(job, tries) {
             return None;
         }
@@ -307,8 +305,7 @@
 
 /// Longest silence of a run that another one could follow.
 fn patience(job: &Job, run: &Run) -> Option<Duration> {
-    let resumable = job.admission.route.mode == Mode::Stream { resumable: true };
-    run.last.filter(|_| resumable)?;
+    run.last.filter(|_| !job.once())?;
     let gap = job.admission.route.gap?;
     Some((gap * SILENCE_GAPS).max(SILENCE))
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -104,10 +104,7 @@
     let address: SocketAddr = start.address.parse().map_err(|_| Failure::NotSent)?;
     let connected = match alone {
         true => Line::connect(address, CONNECT).await,
-        false => pool
-            .take(now, address, false, CONNECT)
-            .await
-            .map(|(line, _)| line),
+        false => pool.take(now, address, false, CONNECT).await,
     };
     let mut line = connected.map_err(|_| Failure::NotSent)?;
     match line.send(request).await {
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -36,25 +36,18 @@
 }
 
 impl Pool {
-    /// A connection to a runner, and whether it was used before.
+    /// A connection to a runner: one that waits, or a new one.
     ///
     /// # Errors
     ///
     /// When the runner cannot be reached; then no byte of a request has left.
-    pub async fn take(
-        &self,
-        now: Moment,
-        address: SocketAddr,
-        once: bool,
-        limit: Duration,
-    ) -> Result<(Line, bool)> {
+    pub async fn take(&self, now: Moment, address: SocketAddr, once: bool, limit: Duration) -> Result<Line> {
         while let Some(mut line) = self.pop(now, address, once) {
             if line.is_usable().await {
-                return Ok((line, true));
+                return Ok(line);
             }
         }
-        let line = Line::connect(address, limit.min(CONNECT)).await?;
-        Ok((line, false))
+        Line::connect(address, limit.min(CONNECT)).await
     }
 
     /// Gives back a connection whose answer was read to its end.
