A few hosts read the store, the others ask them

Cause: each host read all keys every 0.9 s. A host that the store turned away refused keyed requests after 3 s although its peers had fresh proofs.

Change: core::gate::share decides who reads (two hosts, one more for each 24) and whom the others ask; core::gate::mirror keeps all keys, tells what changed after a revision and takes what a peer tells. A proof counts from before the question, less the age told. Reading and putting in force are two modules now. Changes of the live peers are logged, requests name their runner.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -17,10 +17,12 @@
 pub mod fleet;
 pub mod load;
 pub mod memory;
+pub mod mirror;
 pub mod place;
 pub mod proof;
 pub mod report;
 pub mod route;
+pub mod share;
 pub mod supply;
 pub mod tally;
 
--- a/crates/core/src/gate/load.rs
+++ b/crates/core/src/gate/load.rs
@@ -68,6 +68,9 @@
     /// Its usage record, in some of its news.
     #[prost(bytes = "vec", tag = "4")]
     pub record: Vec<u8>,
+    /// Says only that the sender has just read something new in the store.
+    #[prost(bool, tag = "6")]
+    pub nudge: bool,
 }
 
 /// Time between news among `hosts`.
@@ -157,6 +160,7 @@
         rows: rows.collect(),
         flows,
         record: Vec::new(),
+        nudge: false,
     }
 }
 
--- /dev/null
+++ b/crates/core/src/gate/share.rs
@@ -0,0 +1,85 @@
+//! Which hosts read the store, and whom the others ask.
+//!
+//! Each call to the store costs, and hundreds of hosts that all read hundreds of
+//! keys twice a second would fill it. So a few hosts read, the same on every host
+//! that knows the same peers, and each other host asks one of them for the age of
+//! its proof and for what has changed. Nobody is in charge: a host whose peer does
+//! not answer, or has no fresh proof, reads the store itself, and one that the
+//! store turns away asks a peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id::{digest, weight};
+use crate::time::Moment;
+
+/// Hosts that read however few there are: one may die unseen for seconds.
+const LEAST: usize = 2;
+/// Other hosts for each further one that reads. A reader then answers 25 hosts
+/// twice a second; at 410 hosts 19 read, 32 calls a second of two pages each.
+const HOSTS: usize = 24;
+/// How long a host that could not help is not asked again.
+const REST: Duration = Duration::from_secs(2);
+
+plain! {
+    /// Where a host learns what is new.
+    #[derive(Copy, Eq)]
+    pub enum Source {
+        /// The store.
+        Store,
+        /// A peer.
+        Peer(SocketAddr),
+    }
+}
+
+/// One host's choice among its peers.
+#[derive(Clone, Debug, Default)]
+pub struct Share {
+    resting: Vec<(SocketAddr, Moment)>,
+}
+
+impl Share {
+    /// Where to look first. `hosts` are all that live, `me` among them.
+    pub fn first(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Source {
+        let readers = readers(hosts);
+        if !hosts.contains(&me) || readers.contains(&me) {
+            return Source::Store;
+        }
+        self.nearest(now, me, &readers)
+            .map_or(Source::Store, Source::Peer)
+    }
+
+    /// Whom to ask when the store does not answer: another reader, else any host,
+    /// as the store may turn away all that read and serve others.
+    pub fn instead(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+        let readers = readers(hosts);
+        self.nearest(now, me, &readers)
+            .or_else(|| self.nearest(now, me, hosts))
+    }
+
+    /// A host did not answer, or did not know more.
+    pub fn silent(&mut self, now: Moment, host: SocketAddr) {
+        self.resting.retain(|(have, _)| *have != host);
+        self.resting.push((host, now + REST));
+    }
+
+    fn nearest(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+        self.resting.retain(|(_, until)| !now.reached(*until));
+        let own = rank(&me);
+        let rests = |host: &SocketAddr| self.resting.iter().any(|(have, _)| have == host);
+        let others = hosts.iter().filter(|host| **host != me && !rests(host));
+        others.max_by_key(|host| weight(rank(host), own)).copied()
+    }
+}
+
+/// The hosts that read, the same on every host that knows the same ones.
+fn readers(hosts: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut hosts = hosts.to_vec();
+    hosts.sort_by_key(rank);
+    hosts.truncate(LEAST + hosts.len() / HOSTS);
+    hosts
+}
+
+fn rank(host: &SocketAddr) -> u64 {
+    digest(host.to_string().as_bytes())
+}
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -34,6 +34,14 @@
         later.since(self)
     }
 
+    /// The moment `span` before; the clocks' beginning at the earliest.
+    pub fn back(self, span: Duration) -> Moment {
+        Moment {
+            mono: self.mono.saturating_sub(span.as_micros() as u64),
+            wall: self.wall.saturating_sub(span.as_millis() as u64),
+        }
+    }
+
     /// Whether `deadline` has been reached.
     pub fn reached(self, deadline: Moment) -> bool {
         self.mono >= deadline.mono
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -12,9 +12,11 @@
 use arc_swap::ArcSwap;
 use radishstair_core::gate::State;
 use radishstair_core::gate::civil::Civil;
+use radishstair_core::gate::mirror::Mirror;
 use radishstair_core::gate::tally::Record;
 use radishstair_core::id::Incarnation;
 use radishstair_core::time::Moment;
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::flight::{self, Flight};
@@ -23,6 +25,8 @@
 
 pub mod accept;
 pub mod admin;
+pub mod beliefs;
+pub mod changes;
 pub mod dialect;
 pub mod duty;
 pub mod events;
@@ -58,6 +62,11 @@
     pub stopping: AtomicBool,
     state: Mutex<State>,
     civil: Mutex<Civil>,
+    mirror: Mutex<Mirror>,
+    /// Something new was read in the store; the peers are to hear of it.
+    found: Notify,
+    /// A peer has read something new in the store.
+    nudged: Notify,
     running: flight::Count,
     peers: ArcSwap<Vec<SocketAddr>>,
 }
@@ -78,6 +87,9 @@
             stopping: AtomicBool::new(false),
             state: Mutex::new(state),
             civil: Mutex::new(civil),
+            mirror: Mutex::default(),
+            found: Notify::new(),
+            nudged: Notify::new(),
             running: flight::Count::default(),
             peers: ArcSwap::default(),
         })
@@ -88,6 +100,13 @@
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// The store's keys as last seen; held for as short as the beliefs are.
+    fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        self.mirror
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// Now.
     pub fn now(&self) -> Moment {
         self.clock.now()
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -164,6 +164,7 @@
         outcome,
         status,
         sent = tries.sent,
+        runner = tries.last,
         after_ms,
         proof_ms,
         runners,
--- a/crates/entry/src/gate/admin.rs
+++ b/crates/entry/src/gate/admin.rs
@@ -1,9 +1,10 @@
-//! Readiness for the balancer and metrics for operators.
+//! Readiness for the balancer, metrics for operators, changes for peers.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -11,16 +12,25 @@
 use radishstair_wire::log;
 use tokio::net::TcpListener;
 
-use super::Shared;
 use super::reply::{Body, full};
+use super::{Shared, changes};
 
 /// Where metrics are served.
 const METRICS: &str = "/metrics";
 /// Longest time for a head to come; the balancer asks on each connection.
 const HEAD: Duration = Duration::from_secs(30);
 
-/// Serves both on a listener; the two may be one.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+/// Who calls on a port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// The balancer and operators; their ports may be one.
+    Outside,
+    /// Peers. What the store holds names callers' keys, so nobody else is told.
+    Peers,
+}
+
+/// Serves a port until the process ends.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener, port: Port) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -29,7 +39,10 @@
         let shared = shared.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
-                let answer = respond(&shared, &request);
+                let answer = match port {
+                    Port::Outside => respond(&shared, &request),
+                    Port::Peers => changes::respond(&shared, &request),
+                };
                 async move { Ok::<_, Infallible>(answer) }
             });
             let served = hyper::server::conn::http1::Builder::new()
@@ -52,23 +65,24 @@
             answer(StatusCode::OK, shared.metrics.text())
         }
         path if path == shared.dialect.ready_path() => readiness(shared),
-        _ => answer(StatusCode::NOT_FOUND, "not found\n".into()),
+        _ => answer(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
 
 fn readiness(shared: &Shared) -> Response<Body> {
     if shared.is_stopping() {
-        return answer(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".into());
+        return answer(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
     }
     let now = shared.now();
     match shared.state().is_ready(now) {
-        true => answer(StatusCode::OK, "ready\n".into()),
-        false => answer(StatusCode::SERVICE_UNAVAILABLE, "no fresh configuration\n".into()),
+        true => answer(StatusCode::OK, "ready\n"),
+        false => answer(StatusCode::SERVICE_UNAVAILABLE, "no fresh configuration\n"),
     }
 }
 
-fn answer(status: StatusCode, text: String) -> Response<Body> {
-    let mut response = Response::new(full(text));
+/// A short answer.
+pub(super) fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(body));
     *response.status_mut() = status;
     response
 }
--- /dev/null
+++ b/crates/entry/src/gate/beliefs.rs
@@ -0,0 +1,114 @@
+//! Putting in force what was read: the operator's document and the runners.
+
+use std::sync::Arc;
+
+use radishstair_core::gate::fleet::Listed;
+use radishstair_core::store::Entry;
+use radishstair_core::time::Moment;
+
+use super::Shared;
+use crate::upstream::pool::Pool;
+
+/// A runner's entry as it was read last.
+#[derive(Debug)]
+struct Parsed {
+    key: String,
+    version: u64,
+    /// None if it names no runner.
+    listed: Option<Listed>,
+}
+
+/// Reads entries and puts them in force.
+#[derive(Debug)]
+pub struct Beliefs {
+    shared: Arc<Shared>,
+    runners: Arc<Pool>,
+    /// Sorted by key. Most entries are the same in each round, and reading
+    /// thousands anew would take a small host's time.
+    parsed: Vec<Parsed>,
+    /// Documents that could not be read, so that each is logged once.
+    odd: Option<u64>,
+}
+
+impl Beliefs {
+    /// Of a host that has read nothing.
+    pub fn new(shared: Arc<Shared>, runners: Arc<Pool>) -> Self {
+        Self {
+            shared,
+            runners,
+            parsed: Vec::new(),
+            odd: None,
+        }
+    }
+
+    /// Takes the document, known to be the newest as of a moment; whether it was
+    /// put in force.
+    pub fn configure(&mut self, as_of: Moment, entry: &Entry) -> bool {
+        let mut taken = false;
+        let have = self.shared.state().table.clone();
+        if have.is_none_or(|have| have.revision < entry.version) {
+            let table = match self.shared.dialect.table(entry) {
+                Ok(table) => table,
+                Err(err) => {
+                    // The store takes valid documents only; this one says
+                    // something that this version does not know. The proof is
+                    // not renewed, so that keys are not trusted for ever.
+                    if self.odd != Some(entry.version) {
+                        not_read(entry, &err);
+                    }
+                    self.odd = Some(entry.version);
+                    return false;
+                }
+            };
+            let version = table.version;
+            taken = self.shared.state().configure(table);
+            if taken {
+                self.shared.metrics.version.set(version as i64);
+                tracing::info!(
+                    event = "configuration-in-force",
+                    version,
+                    revision = entry.version
+                );
+            }
+        }
+        self.shared.state().proof.renew(as_of);
+        taken
+    }
+
+    /// Takes all runners' entries, in order, as of a moment; whether any of them
+    /// has changed.
+    pub fn list(&mut self, as_of: Moment, entries: &[Entry]) -> bool {
+        let mut changed = entries.len() != self.parsed.len();
+        let mut parsed = Vec::with_capacity(entries.len());
+        let mut known = std::mem::take(&mut self.parsed).into_iter().peekable();
+        for entry in entries {
+            while known.next_if(|have| have.key < entry.key).is_some() {}
+            let same = known.next_if(|have| have.key == entry.key && have.version == entry.version);
+            changed |= same.is_none();
+            parsed.push(same.unwrap_or_else(|| self.parse(entry)));
+        }
+        self.parsed = parsed;
+        let listed = self.parsed.iter().filter_map(|parsed| parsed.listed.clone());
+        let void = self.shared.state().fleet.list(as_of, listed.collect());
+        for address in void {
+            self.runners.forget(address);
+        }
+        changed
+    }
+
+    fn parse(&self, entry: &Entry) -> Parsed {
+        let listed = self.shared.dialect.runner(entry);
+        if let Err(err) = &listed {
+            not_read(entry, err);
+        }
+        Parsed {
+            key: entry.key.clone(),
+            version: entry.version,
+            listed: listed.ok(),
+        }
+    }
+}
+
+fn not_read(entry: &Entry, err: &anyhow::Error) {
+    tracing::warn!(event = "entry-not-read", key = entry.key, revision = entry.version, reason = %format!("{err:#}"));
+}
--- /dev/null
+++ b/crates/entry/src/gate/changes.rs
@@ -0,0 +1,52 @@
+//! What has changed in the store, told from host to host.
+//!
+//! A short call over HTTP on the peers' port: the question names the revision up
+//! to which the asker has seen everything, the answer is a
+//! [`Changes`](radishstair_core::gate::mirror::Changes) message.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use prost::Message;
+use radishstair_core::gate::mirror::Changes;
+
+use super::Shared;
+use super::admin::answer;
+use super::reply::Body;
+use super::store::{Asked, Asker};
+
+const PATH: &str = "/changes";
+const AFTER: &str = "after=";
+/// Longest wait for a peer, a new connection to it included: ten times the way to
+/// another zone and back, and a pause of its control thread.
+const WAIT: Duration = Duration::from_millis(120);
+
+/// Answers a peer.
+pub fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != PATH {
+        return answer(StatusCode::NOT_FOUND, "not found\n");
+    }
+    let after = request.uri().query().and_then(|query| query.strip_prefix(AFTER));
+    let Some(after) = after.and_then(|after| after.parse().ok()) else {
+        return answer(StatusCode::BAD_REQUEST, "after: a revision is needed\n");
+    };
+    let changes = shared.mirror().changes(shared.now(), after);
+    match changes {
+        Some(changes) => answer(StatusCode::OK, changes.encode_to_vec()),
+        None => answer(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet\n"),
+    }
+}
+
+/// Asks a peer for what came after a revision; none if it cannot tell.
+pub async fn ask(asker: &Asker, peer: SocketAddr, after: u64) -> Option<Changes> {
+    let mut request = Request::new(Bytes::new());
+    // Made of a fixed path and a number only.
+    *request.uri_mut() = format!("{PATH}?{AFTER}{after}").parse().unwrap_or_default();
+    match asker.ask(peer, request, WAIT).await {
+        Asked::Answer(StatusCode::OK, body) => Changes::decode(body).ok(),
+        Asked::Answer(..) | Asked::Never | Asked::Lost => None,
+    }
+}
--- a/crates/entry/src/gate/dialect.rs
+++ b/crates/entry/src/gate/dialect.rs
@@ -131,4 +131,6 @@
     pub answer: Answer,
     /// Whether there are more keys behind the last one.
     pub more: bool,
+    /// The store's revision when it answered a listing; 0 for other calls.
+    pub revision: u64,
 }
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -139,11 +139,11 @@
         let now = self.shared.now();
         let prefix = format!("{PREFIX}host/");
         let mut state = self.shared.state();
-        let gap = self.read.map(|last| own.sent.since(last));
+        let gap = self.read.map(|last| own.as_of.since(last));
         if let Some(gap) = gap.filter(|gap| *gap >= AWAY) {
             state.ledger.excuse(gap);
         }
-        self.read = Some(own.sent);
+        self.read = Some(own.as_of);
         self.versions.clear();
         for entry in own.entries.iter().filter(|entry| entry.key.starts_with(&prefix)) {
             self.versions.push((entry.key.clone(), entry.version));
@@ -158,6 +158,9 @@
         let peers: Vec<SocketAddr> = alive.filter_map(|(record, _)| record.peer.parse().ok()).collect();
         state.hosts = (peers.len() as u32).max(1);
         drop(state);
+        if *self.shared.peers.load_full() != peers {
+            tracing::info!(event = "peers", live = peers.len());
+        }
         self.shared.peers.store(Arc::new(peers));
     }
 
@@ -170,7 +173,7 @@
         let candidate = now.since(self.began) >= SETTLED;
         let mut call = self.lease.tick(now, candidate);
         while let Some(next) = call {
-            let (answer, _) = sync::ask(&self.shared, &self.store, &next, WRITE).await;
+            let answer = sync::ask(&self.shared, &self.store, &next, WRITE).await.answer;
             call = self.lease.answer(self.shared.now(), &answer);
         }
         self.tell();
@@ -180,7 +183,7 @@
         let now = self.shared.now();
         self.lease.stop(now);
         while let Some(call) = self.lease.tick(self.shared.now(), false) {
-            let (answer, _) = sync::ask(&self.shared, &self.store, &call, WRITE).await;
+            let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
             self.lease.answer(self.shared.now(), &answer);
         }
         self.tell();
@@ -226,7 +229,7 @@
             expect: self.own_version,
             value,
         };
-        match sync::ask(&self.shared, &self.store, &call, WRITE).await.0 {
+        match sync::ask(&self.shared, &self.store, &call, WRITE).await.answer {
             Answer::Written(version) => {
                 self.own_version = version;
                 self.published = window;
@@ -251,7 +254,7 @@
         while let Some(next) = step {
             step = match next {
                 report::Step::Store(call) => {
-                    let (answer, _) = sync::ask(&self.shared, &self.store, &call, WRITE).await;
+                    let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
                     self.reporter.answer(self.shared.now(), &answer)
                 }
                 report::Step::Report(grant, window) => {
@@ -346,7 +349,7 @@
             };
             let expect = *version;
             let call = Call::Remove { key, expect };
-            let (answer, _) = sync::ask(&self.shared, &self.store, &call, WRITE).await;
+            let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
             tracing::info!(event = "host-forgotten", host = record.host, incarnation = %record.incarnation, answer = ?answer);
         }
     }
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -149,6 +149,7 @@
             };
             let key = slot.key;
             tries.tried.push(key);
+            tries.last = Some(slot.id.clone());
             match self.attempt(job, after, slot, tries).await {
                 Attempt::Opened(opened) => return Ok(*opened),
                 Attempt::Unreachable => {
--- a/crates/entry/src/gate/job.rs
+++ b/crates/entry/src/gate/job.rs
@@ -87,6 +87,8 @@
     pub tried: Vec<Key>,
     /// Runners that it was sent to.
     pub sent: u32,
+    /// Id of the runner that was chosen last, for the log.
+    pub last: Option<String>,
     /// Runners that could not be reached.
     pub unreachable: u32,
     /// Whether it may have run.
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -1,7 +1,7 @@
 //! Sending and hearing what hosts have on runners, over UDP.
 //!
 //! Nothing is decided by this news but which of several good runners gets a
-//! request, so it needs no acknowledgement.
+//! request, and when a host asks for changes, so it needs no acknowledgement.
 
 use std::sync::Arc;
 
@@ -36,7 +36,23 @@
             idle = news.rows.is_empty();
             send(&shared, &socket, &news).await;
         }
-        tokio::time::sleep(pause).await;
+        // What was found is told at once, and does not put the next news off.
+        let next = tokio::time::sleep(pause);
+        tokio::pin!(next);
+        loop {
+            tokio::select! {
+                () = &mut next => break,
+                () = shared.found.notified() => send(&shared, &socket, &nudge(&shared)).await,
+            }
+        }
+    }
+}
+
+fn nudge(shared: &Shared) -> News {
+    News {
+        incarnation: shared.me.0,
+        nudge: true,
+        ..News::default()
     }
 }
 
@@ -58,6 +74,10 @@
             continue;
         };
         if let Ok(news) = News::decode(&bytes[..length]) {
+            if news.nudge {
+                shared.nudged.notify_one();
+                continue;
+            }
             let now = shared.now();
             shared.state().hear(now, shared.me, news);
         }
--- a/crates/entry/src/gate/run.rs
+++ b/crates/entry/src/gate/run.rs
@@ -13,6 +13,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::admin::Port;
 use super::dialect::Dialect;
 use super::duty::Duty;
 use super::forward::Forwarder;
@@ -94,6 +95,7 @@
     };
     let ready = bind("ready_listen", settings.ready_listen)?;
     let metrics = bind("admin_listen", settings.admin_listen)?;
+    let changes = bind("peer_listen", settings.peer_listen)?;
     let peers = control
         .block_on(UdpSocket::bind(settings.peer_listen))
         .with_context(|| format!("peer_listen: binding {}", settings.peer_listen))?;
@@ -102,8 +104,9 @@
     let shared = shared.clone();
     spawn("control", move || {
         control.block_on(async move {
-            tokio::spawn(admin::serve(shared.clone(), ready));
-            tokio::spawn(admin::serve(shared.clone(), metrics));
+            tokio::spawn(admin::serve(shared.clone(), ready, Port::Outside));
+            tokio::spawn(admin::serve(shared.clone(), metrics, Port::Outside));
+            tokio::spawn(admin::serve(shared.clone(), changes, Port::Peers));
             tokio::spawn(peers::run(shared.clone(), peers));
             let store = Arc::new(Asker::default());
             let (own, read) = mpsc::channel(1);
--- a/crates/entry/src/gate/settings.rs
+++ b/crates/entry/src/gate/settings.rs
@@ -19,7 +19,7 @@
     pub ready_listen: SocketAddr,
     /// Where metrics are served.
     pub admin_listen: SocketAddr,
-    /// Where peers send their load, over UDP.
+    /// Where peers send their load, over UDP, and ask for changes, over TCP.
     pub peer_listen: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -1,40 +1,48 @@
 //! Keeping the beliefs up to date from the platform's store.
 //!
-//! Everything is read anew each round: an open watch is no proof (it may be cut
-//! without a sign, or hear nothing while history is dropped), and a round's one
-//! or two pages cost less than the changes of all runners would as events.
+//! A few hosts read all keys anew each round: an open watch is no proof (it may be
+//! cut without a sign, or hear nothing while history is dropped). The other hosts
+//! ask one of them for what has changed, and read the store only where no peer can
+//! help; see [`share`](radishstair_core::gate::share).
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::gate::fleet::Listed;
+use radishstair_core::gate::mirror;
+use radishstair_core::gate::share::{Share, Source};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 use tokio::sync::mpsc;
 
-use super::Shared;
+use super::beliefs::Beliefs;
+use super::dialect::Page;
 use super::store::{Asked, Asker};
+use super::{Shared, changes};
 use crate::upstream::pool::Pool;
 
 /// Time between the beginnings of two rounds. Withdrawn routes must stop within
-/// two seconds: a round, an answer that is lost, and the next one fit in.
-const ROUND: Duration = Duration::from_millis(900);
+/// two seconds, also where the word of a peer that has read something new is lost:
+/// its round, one's own, and an answer that is lost fit in.
+const ROUND: Duration = Duration::from_millis(600);
 /// Pause after a round that failed.
 const AGAIN: Duration = Duration::from_millis(150);
+/// Shortest time between the beginnings of two rounds, however often peers say
+/// that there is something new.
+const LEAST: Duration = Duration::from_millis(50);
 /// Longest wait for one page; a slow store takes a quarter of a second.
 const PAGE: Duration = Duration::from_millis(700);
-/// Pages up to which the list of runners is read in each round. Longer ones are
-/// read in every second round, so that hundreds of hosts stay inside the
-/// store's rate; the document stands on the first page and is read in each.
-const FEW_PAGES: usize = 3;
+/// Age of what a peer told past which the store is asked: a peer that reads has
+/// read within one round and an answer that was lost.
+const STALE: Duration = Duration::from_millis(1_300);
 /// Keys of a page that are asked for.
 const LIMIT: u32 = 500;
 
 /// The keys that hosts of this system write, as one round read them.
 #[derive(Clone, Debug)]
 pub struct Own {
-    /// When the question left.
-    pub sent: Moment,
+    /// Moment as of which they stood.
+    pub as_of: Moment,
     /// All keys under [`PREFIX`].
     pub entries: Vec<Entry>,
 }
@@ -45,174 +53,199 @@
 /// Reads round after round until `own` is closed.
 pub async fn run(shared: Arc<Shared>, store: Arc<Asker>, runners: Arc<Pool>, own: mpsc::Sender<Own>) {
     let mut reader = Reader {
+        beliefs: Beliefs::new(shared.clone(), runners),
         shared,
         store,
-        runners,
         own,
-        odd: Vec::new(),
+        share: Share::default(),
+        peers: Vec::new(),
+        source: None,
         lost_since: None,
-        skip: false,
     };
-    loop {
+    while !reader.own.is_closed() {
         let began = reader.shared.now();
-        let Some(pause) = reader.round(began).await else {
-            return;
+        let known = reader.round(began).await;
+        let waits = match known {
+            true => reader.rest(ROUND, began),
+            false => AGAIN,
         };
-        tokio::time::sleep(pause).await;
+        // Peers tell only those that ask them; one that reads has its own rounds.
+        let asks = matches!(reader.source, Some(Source::Peer(_)));
+        tokio::select! {
+            () = tokio::time::sleep(waits) => {}
+            () = reader.shared.nudged.notified(), if asks => {
+                tokio::time::sleep(reader.rest(LEAST, began)).await;
+            }
+        }
     }
 }
 
-/// What one round has read.
-enum Read {
-    /// All keys.
-    Whole(Vec<Entry>),
-    /// The document only.
-    Document,
-    /// Nothing, or not all: a page was lost.
-    Lost,
-}
-
 struct Reader {
     shared: Arc<Shared>,
     store: Arc<Asker>,
-    runners: Arc<Pool>,
+    beliefs: Beliefs,
     own: mpsc::Sender<Own>,
-    /// Entries that could not be read, so that each is logged once.
-    odd: Vec<(String, u64)>,
+    share: Share,
+    /// Connections to the peers that were asked.
+    peers: Vec<(SocketAddr, Asker)>,
+    /// Where the last round learned what is new.
+    source: Option<Source>,
     lost_since: Option<Moment>,
-    /// Whether the next round reads the document only.
-    skip: bool,
 }
 
 impl Reader {
-    /// One round; the pause until the next, or `None` when nobody listens.
-    async fn round(&mut self, began: Moment) -> Option<Duration> {
-        let entries = match self.read(began).await {
-            Read::Whole(entries) => entries,
-            Read::Document => {
-                self.regained(began);
-                return Some(self.pause(began));
-            }
-            Read::Lost => {
-                self.lost(began);
-                return Some(AGAIN);
-            }
+    /// One round; whether it brought news or the proof that there are none.
+    async fn round(&mut self, began: Moment) -> bool {
+        let hosts = self.shared.peers.load_full();
+        let me = self.shared.settings.load().peer_listen;
+        let first = self.share.first(began, me, &hosts);
+        if let Source::Peer(peer) = first
+            && self.ask(peer).await
+        {
+            return self.known(Source::Peer(peer));
+        }
+        if self.read().await {
+            self.regained(began);
+            return self.known(Source::Store);
+        }
+        self.lost(began);
+        let now = self.shared.now();
+        match self.share.instead(now, me, &hosts) {
+            Some(peer) => self.ask(peer).await && self.known(Source::Peer(peer)),
+            None => false,
+        }
+    }
+
+    /// What is left of a span that began with the round.
+    fn rest(&self, span: Duration, began: Moment) -> Duration {
+        span.saturating_sub(self.shared.now().since(began))
+    }
+
+    /// Asks a peer; whether what is known is fresh then.
+    async fn ask(&mut self, peer: SocketAddr) -> bool {
+        let after = self.shared.mirror().upto();
+        let told = match self.ask_after(peer, after).await {
+            // Something was missed; all keys tell what.
+            Some(false) => self.ask_after(peer, 0).await,
+            told => told,
         };
-        self.regained(began);
-        self.list(began, &entries);
-        let own = entries
-            .into_iter()
-            .filter(|entry| entry.key.starts_with(PREFIX))
-            .collect();
-        let told = self.own.try_send(Own {
-            sent: began,
-            entries: own,
-        });
-        if let Err(mpsc::error::TrySendError::Closed(_)) = told {
-            return None;
+        let as_of = self.shared.mirror().as_of();
+        let fresh = as_of.is_some_and(|as_of| self.shared.now().since(as_of) < STALE);
+        let helped = told == Some(true) && fresh;
+        self.shared
+            .metrics
+            .platform_call("peer", if helped { "ok" } else { "refused" });
+        if helped {
+            self.settle();
+        } else {
+            self.share.silent(self.shared.now(), peer);
         }
-        Some(self.pause(began))
+        helped
+    }
+
+    /// Asks for what came after a revision; false if that was not all.
+    async fn ask_after(&mut self, peer: SocketAddr, after: u64) -> Option<bool> {
+        let asked = self.shared.now();
+        let told = changes::ask(self.connection(peer), peer, after).await?;
+        Some(self.shared.mirror().take(asked, told))
     }
 
-    /// What is left of a round.
-    fn pause(&self, began: Moment) -> Duration {
-        ROUND.saturating_sub(self.shared.now().since(began))
+    fn connection(&mut self, peer: SocketAddr) -> &Asker {
+        let at = match self.peers.binary_search_by_key(&peer, |(have, _)| *have) {
+            Ok(at) => at,
+            Err(at) => {
+                let live = self.shared.peers.load();
+                self.peers.retain(|(have, _)| live.contains(have));
+                let at = at.min(self.peers.len());
+                self.peers.insert(at, (peer, Asker::default()));
+                self.peers.sort_by_key(|(have, _)| *have);
+                self.peers.partition_point(|(have, _)| *have < peer)
+            }
+        };
+        &self.peers[at].1
     }
 
-    /// All keys, or the document only where the list is long and was read in the
-    /// round before.
+    /// Reads all keys from the store; whether all pages came.
     ///
     /// The document is put in force as soon as its page has come: behind a long
     /// list it would wait for all pages, and be lost with any of them.
-    async fn read(&mut self, began: Moment) -> Read {
-        let document = self.shared.dialect.keys().document;
-        let mut all: Vec<Entry> = Vec::new();
-        let mut pages = 0;
+    async fn read(&mut self) -> bool {
+        let mut after = String::new();
+        let mut changed = false;
         loop {
+            let sent = self.shared.now();
             let call = Call::Range {
                 prefix: String::new(),
-                after: all.last().map(|entry| entry.key.clone()).unwrap_or_default(),
+                after: after.clone(),
                 limit: LIMIT,
             };
-            let sent = if pages == 0 { began } else { self.shared.now() };
-            let (answer, more) = ask(&self.shared, &self.store, &call, PAGE).await;
-            let Answer::Found(page) = answer else {
-                return Read::Lost;
+            let page = ask(&self.shared, &self.store, &call, PAGE).await;
+            let Answer::Found(entries) = page.answer else {
+                return false;
             };
-            pages += 1;
-            if let Some(entry) = page.iter().find(|entry| entry.key == document) {
-                self.configure(sent, entry);
-                if std::mem::take(&mut self.skip) {
-                    return Read::Document;
-                }
-            }
-            let more = more && !page.is_empty();
-            all.extend(page);
-            if !more {
-                self.skip = pages > FEW_PAGES;
-                return Read::Whole(all);
+            let document = self.shared.dialect.keys().document;
+            if let Some(entry) = entries.iter().find(|entry| entry.key == document) {
+                changed |= self.beliefs.configure(sent, entry);
             }
+            let last = entries
+                .last()
+                .filter(|_| page.more)
+                .map(|entry| entry.key.clone());
+            self.shared.mirror().page(mirror::Page {
+                after,
+                entries,
+                more: last.is_some(),
+                revision: page.revision,
+                sent,
+            });
+            let Some(last) = last else {
+                break;
+            };
+            after = last;
         }
-    }
-
-    fn list(&mut self, sent: Moment, entries: &[Entry]) {
-        let keys = self.shared.dialect.keys();
-        let listed = entries.iter().filter(|entry| entry.key.starts_with(keys.runners));
-        let listed: Vec<&Entry> = listed.collect();
-        let runners: Vec<Listed> = listed
-            .into_iter()
-            .filter_map(|entry| self.runner(entry))
-            .collect();
-        let void = self.shared.state().fleet.list(sent, runners);
-        for address in void {
-            self.runners.forget(address);
+        changed |= self.settle();
+        if changed {
+            self.shared.found.notify_one();
         }
+        true
     }
 
-    fn configure(&mut self, sent: Moment, entry: &Entry) {
-        let have = self.shared.state().table.clone();
-        if have.is_none_or(|have| have.revision < entry.version) {
-            let table = match self.shared.dialect.table(entry) {
-                Ok(table) => table,
-                Err(err) => {
-                    // The store takes valid documents only; this one says
-                    // something that this version does not know. The proof is
-                    // not renewed, so that keys are not trusted for ever.
-                    self.odd(entry, &err);
-                    return;
-                }
+    /// Puts in force what all keys say; whether any runner has changed.
+    fn settle(&mut self) -> bool {
+        let keys = self.shared.dialect.keys();
+        let (as_of, document, runners, own) = {
+            let mirror = self.shared.mirror();
+            let Some(as_of) = mirror.as_of() else {
+                return false;
             };
-            let version = table.version;
-            if self.shared.state().configure(table) {
-                self.shared.metrics.version.set(version as i64);
-                tracing::info!(
-                    event = "configuration-in-force",
-                    version,
-                    revision = entry.version
-                );
-            }
-        }
-        self.shared.state().proof.renew(sent);
-    }
-
-    fn runner(&mut self, entry: &Entry) -> Option<Listed> {
-        match self.shared.dialect.runner(entry) {
-            Ok(listed) => Some(listed),
-            Err(err) => {
-                self.odd(entry, &err);
-                None
-            }
+            let document = mirror.find(keys.document).cloned();
+            let under = |prefix: &str| mirror.under(prefix).to_vec();
+            (as_of, document, under(keys.runners), under(PREFIX))
+        };
+        if let Some(document) = document {
+            self.beliefs.configure(as_of, &document);
         }
+        let changed = self.beliefs.list(as_of, &runners);
+        // A full channel is emptied by the next round.
+        let _ = self.own.try_send(Own { as_of, entries: own });
+        changed
     }
 
-    fn odd(&mut self, entry: &Entry, err: &anyhow::Error) {
-        let seen = (entry.key.clone(), entry.version);
-        if self.odd.contains(&seen) {
-            return;
+    fn known(&mut self, source: Source) -> bool {
+        if self.source != Some(source) {
+            let (from, peer) = match source {
+                Source::Store => ("store", None),
+                Source::Peer(peer) => ("peer", Some(peer.to_string())),
+            };
+            tracing::info!(
+                event = "reads-from",
+                from,
+                peer,
+                peers = self.shared.peers.load().len()
+            );
         }
-        tracing::warn!(event = "entry-not-read", key = entry.key, revision = entry.version, reason = %format!("{err:#}"));
-        self.odd.retain(|(key, _)| *key != entry.key);
-        self.odd.push(seen);
+        self.source = Some(source);
+        true
     }
 
     fn lost(&mut self, began: Moment) {
@@ -230,18 +263,20 @@
     }
 }
 
-/// Asks the store and counts what came of it; also whether there is more.
-pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> (Answer, bool) {
+/// Asks the store and counts what came of it.
+pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
     let address = shared.settings.load().store;
     let request = shared.dialect.call(call);
-    let (answer, more) = match asker.ask(address, request, limit).await {
-        Asked::Answer(status, body) => {
-            let page = shared.dialect.answer(call, status, &body);
-            (page.answer, page.more)
-        }
-        Asked::Never => (Answer::Refused, false),
-        Asked::Lost => (Answer::Lost, false),
+    let unanswered = |answer| Page {
+        answer,
+        more: false,
+        revision: 0,
+    };
+    let page = match asker.ask(address, request, limit).await {
+        Asked::Answer(status, body) => shared.dialect.answer(call, status, &body),
+        Asked::Never => unanswered(Answer::Refused),
+        Asked::Lost => unanswered(Answer::Lost),
     };
-    shared.metrics.platform_call(call.name(), answer.outcome());
-    (answer, more)
+    shared.metrics.platform_call(call.name(), page.answer.outcome());
+    page
 }
--- a/tests/suite/gate.rs
+++ b/tests/suite/gate.rs
@@ -6,6 +6,8 @@
 mod freshness;
 mod lease;
 mod limits;
+mod mirror;
 mod place;
 mod schedule;
+mod share;
 mod usage;
--- a/tests/suite/gate/schedule.rs
+++ b/tests/suite/gate/schedule.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use radishstair_core::error::Kind;
+use radishstair_core::gate::mirror::{Changes, Mirror, Page};
 use radishstair_core::gate::report::{Plan, Reporter, Step};
 use radishstair_core::gate::tally::{Ledger, Record, Tally, Window};
 use radishstair_core::gate::{Admission, State};
@@ -107,6 +108,11 @@
     sending: Option<(u64, radishstair_core::lease::Grant, Window)>,
     /// A request that was admitted and waits to be sent.
     waiting: Option<(u64, Admission)>,
+    mirror: Mirror,
+    /// A question to a peer: when it was asked.
+    asking: Option<u64>,
+    /// A peer's answer, and when it arrives.
+    told: Option<(u64, Changes)>,
 }
 
 impl Host {
@@ -126,6 +132,9 @@
             published: 0,
             sending: None,
             waiting: None,
+            mirror: Mirror::default(),
+            asking: None,
+            told: None,
         }
     }
 
@@ -165,6 +174,8 @@
     Unsealed,
     /// Requests leave without the look before the send.
     Unlooked,
+    /// What a peer tells counts from its arrival.
+    Unaged,
 }
 
 struct Play {
@@ -183,6 +194,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             store: Store {
                 document: (1, true),
+                revision: 1,
                 ..Store::default()
             },
             hosts: hosts.collect(),
@@ -227,14 +239,50 @@
             self.store.away_until = ms + self.rng.random_range(1_000..8_000);
         }
         if ms == START + 20_000 {
-            self.store.document = (2, false);
+            self.store.revision += 1;
+            self.store.document = (self.store.revision, false);
             self.seen.withdrawn_at = Some(ms);
         }
     }
 
+    /// Asks a peer, answers one, takes an answer.
+    fn talk(&mut self, ms: u64, at_host: usize) {
+        let (peer, begins) = (
+            self.rng.random_range(0..self.hosts.len()),
+            self.rng.random_bool(0.1),
+        );
+        let host = &mut self.hosts[at_host];
+        if let Some(asked) = host.asking {
+            if let Some((_, changes)) = host.told.take_if(|(due, _)| *due <= ms) {
+                let asked = if self.fault == Fault::Unaged { ms } else { asked };
+                host.asking = None;
+                host.mirror.take(at(asked), changes);
+                believe(host, at(ms));
+            } else if ms > asked + 4_000 {
+                host.asking = None;
+                host.told = None;
+            }
+            return;
+        }
+        if !begins || peer == at_host {
+            return;
+        }
+        let after = host.mirror.upto();
+        // A frozen peer answers when it wakes, by what it knew before.
+        let handled = self.hosts[peer].frozen_until.max(ms);
+        let Some(changes) = self.hosts[peer].mirror.changes(at(handled), after) else {
+            return;
+        };
+        let slow = self.rng.random_bool(0.2);
+        let delay = self.rng.random_range(0..if slow { 3_000 } else { 200 });
+        self.hosts[at_host].asking = Some(ms);
+        self.hosts[at_host].told = Some((handled + delay, changes));
+    }
+
     fn step(&mut self, ms: u64, at_host: usize) {
         let now = at(ms);
         self.finish(ms, at_host);
+        self.talk(ms, at_host);
         let Self {
             rng,
             store,
@@ -253,7 +301,10 @@
         {
             host.waiting = Some((ms + rng.random_range(0..3_000), admission));
         }
-        if ms / STEP_MS % 18 == at_host as u64 && ms >= store.away_until {
+        let turn = ms / STEP_MS % 18 == at_host as u64;
+        // The store turns some hosts away for a while.
+        let away = ms < store.away_until || (ms / 5_000 + at_host as u64).is_multiple_of(7);
+        if turn && !away && host.asking.is_none() {
             read(host, store, now);
         }
         let window = ms / 5_000;
@@ -332,16 +383,46 @@
 
 fn read(host: &mut Host, store: &Store, now: Moment) {
     let (revision, stands) = store.document;
-    let keys: &[&str] = if stands { &[KEY] } else { &["key-b"] };
-    host.state.configure(table(revision, vec![customer("ana", keys)]));
-    host.state.proof.renew(now);
-    host.lease.show(now, store.entry("duty").as_ref());
-    let entries = store.items.iter().map(|(key, (version, value))| Entry {
+    let document = Entry {
+        key: "document".into(),
+        version: revision,
+        value: stands.to_string(),
+    };
+    let items = store.items.iter().map(|(key, (version, value))| Entry {
         key: key.clone(),
         version: *version,
         value: value.clone(),
     });
-    let (sealed, others): (Vec<Entry>, Vec<Entry>) = entries.partition(|entry| entry.key.contains("sealed"));
+    let mut entries: Vec<Entry> = items.chain([document]).collect();
+    entries.sort_by(|a, b| a.key.cmp(&b.key));
+    host.mirror.page(Page {
+        after: String::new(),
+        entries,
+        more: false,
+        revision: store.revision,
+        sent: now,
+    });
+    believe(host, now);
+}
+
+/// Puts in force what the host knows of the store.
+fn believe(host: &mut Host, now: Moment) {
+    let (Some(as_of), Some(document)) = (host.mirror.as_of(), host.mirror.find("document")) else {
+        return;
+    };
+    let keys: &[&str] = if document.value == "true" {
+        &[KEY]
+    } else {
+        &["key-b"]
+    };
+    host.state
+        .configure(table(document.version, vec![customer("ana", keys)]));
+    host.state.proof.renew(as_of);
+    host.lease.show(now, host.mirror.find("duty"));
+    let entries = host.mirror.under("").to_vec();
+    let (sealed, others): (Vec<Entry>, Vec<Entry>) = entries
+        .into_iter()
+        .partition(|entry| entry.key.contains("sealed"));
     host.reporter.adopt(&sealed);
     for entry in others {
         if let Ok(record) = serde_json::from_str(&entry.value) {
@@ -391,11 +472,11 @@
 }
 
 /// The play must see what it looks for: with sealed windows that vanish each
-/// holder reports its own sum, and without the look before the send a withdrawn
-/// key goes on.
+/// holder reports its own sum, and without the look before the send, or with a
+/// peer's old word taken for new, a withdrawn key goes on.
 #[test]
 fn broken_gates_are_seen() {
-    for fault in [Fault::Unsealed, Fault::Unlooked] {
+    for fault in [Fault::Unsealed, Fault::Unlooked, Fault::Unaged] {
         let caught = (0..60).filter(|seed| {
             let seed = *seed;
             std::panic::catch_unwind(|| Play::new(seed, fault).play()).is_err()
--- /dev/null
+++ b/tests/suite/gate/share.rs
@@ -0,0 +1,87 @@
+//! Who reads the store, and whom the others ask.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use radishstair_core::gate::share::{Share, Source};
+use radishstair_core::time::Moment;
+
+fn hosts(count: u8) -> Vec<SocketAddr> {
+    let host = |at: u8| ([10, 1, at / 64, at % 64 + 1], 7_340).into();
+    (0..count).map(host).collect()
+}
+
+fn first(me: SocketAddr, hosts: &[SocketAddr]) -> Source {
+    Share::default().first(Moment::at_ms(1_000), me, hosts)
+}
+
+/// Each call to the store costs, and hundreds of hosts that read it twice a second
+/// would fill it. A few read, and whoever asks, asks one of them, in whatever order
+/// it has heard of its peers.
+#[test]
+fn a_few_hosts_read_and_all_agree_on_them() {
+    for (count, few) in [(1, 1), (2, 2), (9, 2), (73, 5), (240, 12)] {
+        let hosts = hosts(count);
+        let mut turned = hosts.clone();
+        turned.reverse();
+        let reads = |host: &&SocketAddr| first(**host, &hosts) == Source::Store;
+        let readers: Vec<SocketAddr> = hosts.iter().filter(reads).copied().collect();
+        assert_eq!(readers.len(), few, "{count} hosts");
+        for host in &hosts {
+            match first(*host, &turned) {
+                Source::Store => assert!(readers.contains(host)),
+                Source::Peer(peer) => assert!(readers.contains(&peer) && !readers.contains(host)),
+            }
+        }
+    }
+}
+
+/// A host that is not yet known to live is not asked and knows nobody's answer to be
+/// fresh; it reads the store.
+#[test]
+fn a_host_that_has_just_started_reads() {
+    let all = hosts(9);
+    assert_eq!(first(all[3], &[]), Source::Store);
+    assert_eq!(first(all[3], &all[4..]), Source::Store);
+}
+
+/// The reader that a host asks has died or is frozen. Waiting for it in each round
+/// would make the host's proof old, so the host asks another, then the store, and
+/// the first one again after a while.
+#[test]
+fn a_silent_reader_is_passed_over() {
+    let all = hosts(9);
+    let me = *all
+        .iter()
+        .find(|host| first(**host, &all) != Source::Store)
+        .expect("not all read");
+    let mut share = Share::default();
+    let now = Moment::at_ms(1_000);
+    let mut asked = Vec::new();
+    while let Source::Peer(peer) = share.first(now, me, &all) {
+        assert!(!asked.contains(&peer));
+        asked.push(peer);
+        share.silent(now, peer);
+    }
+    assert_eq!(asked.len(), 2);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(share.first(later, me, &all), Source::Peer(asked[0]));
+}
+
+/// The store turns away the hosts that read and serves others. A reader that gets no
+/// answer asks the other reader first, then any host, one after the other.
+#[test]
+fn a_host_that_the_store_turns_away_asks_its_peers() {
+    let all = hosts(4);
+    let reads = |host: &&SocketAddr| first(**host, &all) == Source::Store;
+    let readers: Vec<SocketAddr> = all.iter().filter(reads).copied().collect();
+    let mut share = Share::default();
+    let now = Moment::at_ms(1_000);
+    assert_eq!(share.instead(now, readers[0], &all), Some(readers[1]));
+    let mut asked = Vec::new();
+    while let Some(peer) = share.instead(now, readers[0], &all) {
+        asked.push(peer);
+        share.silent(now, peer);
+    }
+    assert_eq!(asked.len(), 3, "all but itself");
+}
