Counts leave what hosts tell each other; starts of many hosts wait for a few

The busiest hosts sent 2.5 MB a second: each answer to a peer carried the usage records that 36 hosts had written since. After a start of all hosts each read seven pages at once, and the store turned most away.

Ruled out: processor (8 % of a core at the busiest), the number of questions.

Change: a run has two keys, its presence (written at start and end) and its counts (once a window). Hosts pass on of the counts only that they have changed; the holder of the duty reads them itself, once a window. A host that has just started and meets a long list asks a reader for it, three times at most before it reads on. Failed rounds pause twice as long each, spread by a draw.

--- a/crates/core/src/gate/tally.rs
+++ b/crates/core/src/gate/tally.rs
@@ -1,10 +1,10 @@
 //! Requests that began to run, by usage window and customer.
 //!
-//! Each run of a host publishes its counts as one record in the store,
-//! overwritten as they grow, and tells its peers the same more often. Counts of
-//! one run only grow, so of two copies the one that reaches further is right,
-//! and runs add up. A host that dies loses what it counted since its peers last
-//! heard of it.
+//! Each run of a host publishes its presence in the store, which all hosts read,
+//! and its counts as one record, overwritten as they grow, which only the reporter
+//! reads; it tells its peers the same more often. Counts of one run only grow, so of
+//! two copies the one that reaches further is right, and runs add up. A host that
+//! dies loses what it counted since its peers last heard of it.
 
 use std::time::Duration;
 
@@ -60,6 +60,37 @@
     }
 }
 
+record! {
+    /// That a run of a host is there.
+    #[derive(Eq)]
+    pub struct Presence {
+        /// Its host.
+        pub host: String,
+        /// The run.
+        pub incarnation: Incarnation,
+        /// Civil time in milliseconds at its start.
+        pub began: u64,
+        /// Address and port where peers reach it.
+        pub peer: String,
+        /// Set when it stops.
+        #[serde(default)]
+        pub ended: bool,
+    }
+}
+
+impl Record {
+    /// The run without its counts.
+    pub fn presence(&self) -> Presence {
+        Presence {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            began: self.began,
+            peer: self.peer.clone(),
+            ended: self.ended,
+        }
+    }
+}
+
 /// Records of all runs, as the store and the peers tell them.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -70,6 +101,8 @@
 struct Row {
     record: Record,
     changed: Moment,
+    /// Version of its counts in the store.
+    version: u64,
 }
 
 /// Time after its last change for which a run counts as alive: peers hear of it
@@ -84,15 +117,65 @@
         let found = self
             .rows
             .binary_search_by_key(&record.incarnation, |row| row.record.incarnation);
-        let row = Row { record, changed: now };
         match found {
             Ok(at) => {
-                let have = &self.rows[at].record;
-                if (row.record.until, row.record.ended) > (have.until, have.ended) {
-                    self.rows[at] = row;
+                let have = &mut self.rows[at];
+                if (record.until, record.ended) > (have.record.until, have.record.ended) {
+                    have.record = record;
+                    have.changed = now;
                 }
             }
-            Err(at) => self.rows.insert(at, row),
+            Err(at) => self.rows.insert(
+                at,
+                Row {
+                    record,
+                    changed: now,
+                    version: 0,
+                },
+            ),
+        }
+    }
+
+    /// Takes a run's presence in; what it counted is not known by this.
+    pub fn show(&mut self, now: Moment, presence: Presence) {
+        let found = self
+            .rows
+            .binary_search_by_key(&presence.incarnation, |row| row.record.incarnation);
+        if let Ok(at) = found {
+            self.rows[at].record.ended |= presence.ended;
+            return;
+        }
+        let Presence {
+            host,
+            incarnation,
+            began,
+            peer,
+            ended,
+        } = presence;
+        self.take(
+            now,
+            Record {
+                host,
+                incarnation,
+                began,
+                peer,
+                ended,
+                until: 0,
+                windows: Vec::new(),
+            },
+        );
+    }
+
+    /// A run has written its counts anew, in this version: it lives.
+    pub fn stir(&mut self, now: Moment, incarnation: Incarnation, version: u64) {
+        let found = self
+            .rows
+            .binary_search_by_key(&incarnation, |row| row.record.incarnation);
+        if let Ok(at) = found
+            && self.rows[at].version < version
+        {
+            self.rows[at].version = version;
+            self.rows[at].changed = now;
         }
     }
 
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -1,39 +1,30 @@
 //! What one host does for all: usage reports and orders for runners.
 //!
-//! The duty is a record in the store that its holder renews. Each host also
-//! publishes its own counts, which tell the others that it lives.
+//! The duty is a record in the store that its holder renews.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use radishstair_core::gate::report::{self, Reporter};
 use radishstair_core::gate::supply::Planner;
-use radishstair_core::gate::tally::{Record, Window};
+use radishstair_core::gate::tally::Window;
 use radishstair_core::lease::{Grant, Lease, Terms};
-use radishstair_core::store::{Answer, Call, Entry};
+use radishstair_core::store::Entry;
 use radishstair_core::time::Moment;
 use tokio::sync::{mpsc, oneshot};
 
 use super::Shared;
+use super::records::Records;
 use super::store::{Asked, Asker};
 use super::sync::{self, Own, PREFIX};
 
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
 /// Longest wait for a write to the store.
-const WRITE: Duration = Duration::from_millis(800);
-/// Wait after a window's end before the record is written, so that the counts
-/// up to it are whole. Between records the peers hold the newer counts.
-const SETTLE_MS: u64 = 120;
-/// Time over which the hosts' records are spread, so that they do not come at
-/// the store together.
-const SPREAD_MS: u64 = 400;
+pub const WRITE: Duration = Duration::from_millis(800);
 /// Most orders of one step, so that the lease is renewed in time.
 const ORDERS: usize = 4;
-/// A pause between two reads past which the silence of hosts means nothing.
-const AWAY: Duration = Duration::from_millis(2_500);
 /// A process does not seek the duty in its first seconds: its former run may
 /// have held it, and two changes of the holder within a lease are one too many.
 const SETTLED: Duration = Duration::from_secs(4);
@@ -48,11 +39,7 @@
     lease: Lease,
     reporter: Reporter,
     planner: Planner,
-    /// Revisions of the records in the store, by key.
-    versions: Vec<(String, u64)>,
-    own_version: u64,
-    read: Option<Moment>,
-    published: u64,
+    records: Records,
     holds: bool,
 }
 
@@ -63,15 +50,12 @@
         Self {
             began: shared.now(),
             lease: Lease::with(shared.me, format!("{PREFIX}duty"), terms),
+            records: Records::new(shared.clone(), store.clone()),
             shared,
             store,
             desk: Asker::default(),
             reporter: Reporter::default(),
             planner: Planner::default(),
-            versions: Vec::new(),
-            own_version: 0,
-            read: None,
-            published: 0,
             holds: false,
         }
     }
@@ -89,7 +73,7 @@
             }
             self.step().await;
         }
-        self.publish(true).await;
+        self.records.end().await;
         self.hand_back().await;
     }
 
@@ -99,15 +83,14 @@
         } else {
             self.renew().await;
         }
-        if self.is_due() {
-            self.publish(false).await;
-        }
+        self.records.publish().await;
         let Some(grant) = self.grant() else {
             self.reporter.rest();
             self.planner = Planner::default();
             return;
         };
         if self.shared.settings.load().duties.usage {
+            self.records.gather().await;
             self.report(grant).await;
         }
         if self.shared.settings.load().duties.orders {
@@ -117,7 +100,7 @@
                 }
             }
         }
-        self.clean().await;
+        self.records.clean().await;
     }
 
     fn take(&mut self, own: Own) {
@@ -132,36 +115,7 @@
             .cloned()
             .collect();
         self.reporter.adopt(&sealed);
-        self.take_hosts(&own);
-    }
-
-    fn take_hosts(&mut self, own: &Own) {
-        let now = self.shared.now();
-        let prefix = format!("{PREFIX}host/");
-        let mut state = self.shared.state();
-        let gap = self.read.map(|last| own.as_of.since(last));
-        if let Some(gap) = gap.filter(|gap| *gap >= AWAY) {
-            state.ledger.excuse(gap);
-        }
-        self.read = Some(own.as_of);
-        self.versions.clear();
-        for entry in own.entries.iter().filter(|entry| entry.key.starts_with(&prefix)) {
-            self.versions.push((entry.key.clone(), entry.version));
-            match serde_json::from_str::<Record>(&entry.value) {
-                Ok(record) => state.ledger.take(now, record),
-                Err(err) => {
-                    tracing::warn!(event = "entry-not-read", key = entry.key, revision = entry.version, reason = %err);
-                }
-            }
-        }
-        let alive = state.ledger.all(now).filter(|(_, alive)| *alive);
-        let peers: Vec<SocketAddr> = alive.filter_map(|(record, _)| record.peer.parse().ok()).collect();
-        state.hosts = (peers.len() as u32).max(1);
-        drop(state);
-        if *self.shared.peers.load_full() != peers {
-            tracing::info!(event = "peers", live = peers.len());
-        }
-        self.shared.peers.store(Arc::new(peers));
+        self.records.take(&own);
     }
 
     fn grant(&self) -> Option<Grant> {
@@ -201,45 +155,6 @@
         }
     }
 
-    /// Whether a window has ended since the last record.
-    fn is_due(&self) -> bool {
-        self.read.is_some() && self.window() != self.published
-    }
-
-    fn window(&self) -> u64 {
-        let settings = self.shared.settings.load();
-        let spread = radishstair_core::id::digest(settings.host.as_bytes()) % SPREAD_MS;
-        let civil = self.shared.civil(self.shared.now());
-        let window_ms = (settings.bounds.usage_window_s * 1_000).max(1);
-        civil.saturating_sub(SETTLE_MS + spread) / window_ms
-    }
-
-    fn own_key(&self) -> String {
-        let settings = self.shared.settings.load();
-        format!("{PREFIX}host/{}/{}", settings.host, self.shared.me)
-    }
-
-    async fn publish(&mut self, ended: bool) {
-        let window = self.window();
-        let Ok(value) = serde_json::to_string(&self.shared.record(ended)) else {
-            return;
-        };
-        let call = Call::Swap {
-            key: self.own_key(),
-            expect: self.own_version,
-            value,
-        };
-        match sync::ask(&self.shared, &self.store, &call, WRITE).await.answer {
-            Answer::Written(version) => {
-                self.own_version = version;
-                self.published = window;
-            }
-            // An earlier write whose answer was lost; the next tick repeats it.
-            Answer::Conflict(entry) => self.own_version = entry.version,
-            Answer::Refused | Answer::Lost | Answer::Found(_) => {}
-        }
-    }
-
     async fn report(&mut self, grant: Grant) {
         let now = self.shared.now();
         let civil = self.shared.civil(now);
@@ -337,20 +252,4 @@
         }
         status
     }
-
-    /// Removes the records of runs that are long gone.
-    async fn clean(&mut self) {
-        let now = self.shared.now();
-        let gone = self.shared.state().ledger.forget(now);
-        for record in gone {
-            let key = format!("{PREFIX}host/{}/{}", record.host, record.incarnation);
-            let Some((_, version)) = self.versions.iter().find(|(have, _)| *have == key) else {
-                continue;
-            };
-            let expect = *version;
-            let call = Call::Remove { key, expect };
-            let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
-            tracing::info!(event = "host-forgotten", host = record.host, incarnation = %record.incarnation, answer = ?answer);
-        }
-    }
 }
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -9,14 +9,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::gate::mirror;
 use radishstair_core::gate::share::{Share, Source};
+use radishstair_core::gate::mirror;
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 use tokio::sync::mpsc;
 
 use super::beliefs::Beliefs;
 use super::dialect::Page;
+use super::records::{self, COUNTS};
 use super::store::{Asked, Asker};
 use super::{Shared, changes};
 use crate::upstream::pool::Pool;
@@ -27,6 +28,9 @@
 const ROUND: Duration = Duration::from_millis(600);
 /// Pause after a round that failed.
 const AGAIN: Duration = Duration::from_millis(150);
+/// Longest such pause; it doubles with each failure, so that hosts which the store
+/// turns away for its rate do not keep it there.
+const AGAIN_MOST: Duration = ROUND;
 /// Shortest time between the beginnings of two rounds, however often peers say
 /// that there is something new.
 const LEAST: Duration = Duration::from_millis(50);
@@ -37,6 +41,9 @@
 const STALE: Duration = Duration::from_millis(1_300);
 /// Keys of a page that are asked for.
 const LIMIT: u32 = 500;
+/// Times that a host which has just started asks a peer before it reads a long list
+/// itself: the peer may have just started, too, and be reading.
+const DEFERRED: u32 = 3;
 
 /// The keys that hosts of this system write, as one round read them.
 #[derive(Clone, Debug)]
@@ -61,13 +68,14 @@
         peers: Vec::new(),
         source: None,
         lost_since: None,
+        failures: 0,
+        deferred: 0,
     };
     while !reader.own.is_closed() {
         let began = reader.shared.now();
-        let known = reader.round(began).await;
-        let waits = match known {
+        let waits = match reader.round(began).await {
             true => reader.rest(ROUND, began),
-            false => AGAIN,
+            false => reader.pause(rand::random()),
         };
         // Peers tell only those that ask them; one that reads has its own rounds.
         let asks = matches!(reader.source, Some(Source::Peer(_)));
@@ -91,6 +99,10 @@
     /// Where the last round learned what is new.
     source: Option<Source>,
     lost_since: Option<Moment>,
+    /// Rounds in a row that brought nothing.
+    failures: u32,
+    /// Times that a peer was asked before the first listing.
+    deferred: u32,
 }
 
 impl Reader {
@@ -116,6 +128,15 @@
         }
     }
 
+    /// Pause after a failed round, spread by a draw: hosts that fail together must
+    /// not come back together.
+    fn pause(&mut self, draw: u32) -> Duration {
+        let pause = AGAIN * 2u32.saturating_pow(self.failures);
+        self.failures = (self.failures + 1).min(4);
+        let spread = 0.5 + f64::from(draw) / f64::from(u32::MAX);
+        pause.min(AGAIN_MOST).mul_f64(spread)
+    }
+
     /// What is left of a span that began with the round.
     fn rest(&self, span: Duration, began: Moment) -> Duration {
         span.saturating_sub(self.shared.now().since(began))
@@ -180,9 +201,13 @@
                 limit: LIMIT,
             };
             let page = ask(&self.shared, &self.store, &call, PAGE).await;
-            let Answer::Found(entries) = page.answer else {
+            let Answer::Found(mut entries) = page.answer else {
                 return false;
             };
+            for entry in entries.iter_mut().filter(|entry| entry.key.starts_with(COUNTS)) {
+                // Only that they have changed is told on.
+                entry.value.clear();
+            }
             let document = self.shared.dialect.keys().document;
             if let Some(entry) = entries.iter().find(|entry| entry.key == document) {
                 changed |= self.beliefs.configure(sent, entry);
@@ -191,6 +216,14 @@
                 .last()
                 .filter(|_| page.more)
                 .map(|entry| entry.key.clone());
+            if after.is_empty() && last.is_some() && self.defers() {
+                let hosts = records::hosts(&entries);
+                let me = self.shared.settings.load().peer_listen;
+                if let Source::Peer(peer) = self.share.first(sent, me, &hosts) {
+                    self.deferred += 1;
+                    return self.ask(peer).await;
+                }
+            }
             self.shared.mirror().page(mirror::Page {
                 after,
                 entries,
@@ -210,6 +243,13 @@
         true
     }
 
+    /// Whether a long list is left to the hosts that read: nothing is known yet, as
+    /// after a start. When hundreds of hosts start at once, the store would turn most
+    /// of them away again and again.
+    fn defers(&self) -> bool {
+        self.deferred < DEFERRED && self.shared.mirror().upto() == 0
+    }
+
     /// Puts in force what all keys say; whether any runner has changed.
     fn settle(&mut self) -> bool {
         let keys = self.shared.dialect.keys();
@@ -232,6 +272,7 @@
     }
 
     fn known(&mut self, source: Source) -> bool {
+        self.failures = 0;
         if self.source != Some(source) {
             let (from, peer) = match source {
                 Source::Store => ("store", None),
--- a/tests/suite/gate/usage.rs
+++ b/tests/suite/gate/usage.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use radishstair_core::gate::report::{Plan, Reporter, Step};
-use radishstair_core::gate::tally::{Ledger, Record, Window};
+use radishstair_core::gate::tally::{Ledger, Presence, Record, Window};
 use radishstair_core::id::Incarnation;
 use radishstair_core::lease::Grant;
 use radishstair_core::store::{Answer, Call, Entry};
@@ -95,6 +95,45 @@
     assert_eq!(alive(16_200), 1);
 }
 
+fn presence(host: &str, run: u64, ended: bool) -> Presence {
+    Presence {
+        ended,
+        ..record(host, run, 0, 0, 0).presence()
+    }
+}
+
+/// The customer is billed for too few requests. A host is known to be there, but the
+/// holder of the duty has not read its counts yet; the window waits for them.
+#[test]
+fn a_window_waits_for_the_counts_of_a_host_that_is_there() {
+    let mut ledger = Ledger::default();
+    ledger.take(at(5_200), record("a", 1, 0, 5_100, 10));
+    ledger.show(at(5_200), presence("b", 2, false));
+    let mut reporter = Reporter::default();
+    assert!(tick(&mut reporter, &ledger, 7_000).is_none());
+    ledger.take(at(7_100), record("b", 2, 0, 5_100, 6));
+    let window = sealed(tick(&mut reporter, &ledger, 7_200)).expect("all have told");
+    assert_eq!(window.counts, vec![("ana".to_string(), 16)]);
+}
+
+/// A host is thought dead and its part of the shared budget goes to others. It writes
+/// its counts once a window, and that they have changed tells that it lives; an old
+/// reading of them does not, nor does a host that has said its end.
+#[test]
+fn counts_that_change_tell_that_a_run_lives() {
+    let mut ledger = Ledger::default();
+    ledger.show(at(0), presence("a", 1, false));
+    let alive = |ledger: &Ledger, ms| ledger.all(at(ms)).filter(|(_, alive)| *alive).count();
+    ledger.stir(at(5_000), Incarnation(1), 12);
+    assert_eq!(alive(&ledger, 12_000), 1);
+    ledger.stir(at(10_000), Incarnation(1), 12);
+    assert_eq!(alive(&ledger, 13_500), 0);
+    ledger.stir(at(14_000), Incarnation(1), 15);
+    assert_eq!(alive(&ledger, 15_000), 1);
+    ledger.show(at(15_000), presence("a", 1, true));
+    assert_eq!(alive(&ledger, 15_100), 0);
+}
+
 /// A customer is billed twice. A host restarts under its name; its new run
 /// starts at zero, and the counts of both runs add up, whichever copies of
 /// their records come, in whatever order.
