A host without its own way to the store hands its callers over and refuses nobody

Cause: since hosts go on by their peers' proof, a host that is cut off from the store keeps its callers for as long as that lasts.

Change: each host knows when the store last answered it; one that learns from peers asks for a single key, cheaply, each second. Past 2.5 s without an answer it tells the balancer that it is not ready and answers with `Connection: close`, while its peers' proof is fresh. Where no host has a proof nobody is sent about.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -67,6 +67,13 @@
 /// past it a newer document may know them.
 const NEWEST: Duration = Duration::from_millis(1_700);
 
+/// Time without an answer of the store to this host past which it hands its callers
+/// over: two questions of [`WAY_ASKED`] in a row and the wait for their answers.
+const WAY: Duration = Duration::from_millis(2_500);
+/// Time after which a host that learns from its peers asks whether the store still
+/// answers it.
+pub const WAY_ASKED: Duration = Duration::from_millis(1_000);
+
 /// Least urgent rank: engines know ten.
 pub const LAST_RANK: u8 = 9;
 
@@ -120,6 +127,8 @@
     pub table: Option<Arc<Table>>,
     /// When the document was known to be the newest.
     pub proof: Proof,
+    /// When the store last answered this host itself.
+    pub way: Proof,
     /// Runners.
     pub fleet: Fleet,
     /// Where prompts were read.
@@ -145,6 +154,7 @@
             bounds,
             table: None,
             proof: Proof::default(),
+            way: Proof::default(),
             fleet: Fleet::new(zone),
             memory: Memory::default(),
             peers: Peers::default(),
@@ -174,7 +184,22 @@
 
     /// Whether callers should come here.
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.table.is_some() && self.fleet.is_listed() && self.is_fresh(now)
+        self.table.is_some() && self.fleet.is_listed() && self.is_fresh(now) && self.has_way(now)
+    }
+
+    /// Whether callers that are here had better go to another host.
+    ///
+    /// A host that the store does not answer serves on by its peers' proof. If it
+    /// loses them as well, it must refuse everybody at once; so it sends its callers
+    /// elsewhere while it can still serve them, and refuses nobody meanwhile. Where
+    /// the store answers no host at all, the peers' proof is old as well, and nobody
+    /// is sent about.
+    pub fn hands_over(&self, now: Moment) -> bool {
+        self.is_fresh(now) && !self.has_way(now)
+    }
+
+    fn has_way(&self, now: Moment) -> bool {
+        self.way.covers(now, WAY)
     }
 
     /// Whether keyed requests may be passed on.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -17,6 +17,8 @@
         Swap { key: String, expect: u64, value: String },
         /// Read one key.
         Get { key: String },
+        /// Read one key, possibly as it was some time ago, for less.
+        Peek { key: String },
         /// Read keys under a prefix, after `after`, in order.
         Range { prefix: String, after: String, limit: u32 },
         /// Remove if the version still is `expect`.
@@ -60,6 +62,7 @@
         match self {
             Call::Swap { .. } => "swap",
             Call::Get { .. } => "get",
+            Call::Peek { .. } => "peek",
             Call::Range { .. } => "range",
             Call::Remove { .. } => "remove",
             Call::Watch { .. } => "watch",
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -94,7 +94,7 @@
         Err(refusal) => reply::refuse(&refusal),
     };
     let headers = answer.headers_mut();
-    if shared.is_stopping() {
+    if shared.is_stopping() || shared.state().hands_over(arrived) {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     } else {
         let idle = limits(&shared).idle.as_secs().max(1);
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use radishstair_core::gate::share::{Share, Source};
-use radishstair_core::gate::mirror;
+use radishstair_core::gate::{WAY_ASKED, mirror};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 use tokio::sync::mpsc;
@@ -304,8 +304,22 @@
     }
 }
 
+/// Asks the store now and then whether it still answers this host, where nothing
+/// else has asked it.
+pub async fn watch_way(shared: Arc<Shared>, store: Arc<Asker>) {
+    loop {
+        let now = shared.now();
+        let key = shared.dialect.keys().document.to_string();
+        if !shared.state().way.covers(now, WAY_ASKED) {
+            ask(&shared, &store, &Call::Peek { key }, PAGE).await;
+        }
+        tokio::time::sleep(WAY_ASKED / 4).await;
+    }
+}
+
 /// Asks the store and counts what came of it.
 pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
+    let asked = shared.now();
     let address = shared.settings.load().store;
     let request = shared.dialect.call(call);
     let unanswered = |answer| Page {
@@ -318,6 +332,9 @@
         Asked::Never => unanswered(Answer::Refused),
         Asked::Lost => unanswered(Answer::Lost),
     };
+    if !matches!(page.answer, Answer::Refused | Answer::Lost) {
+        shared.state().way.renew(asked);
+    }
     shared.metrics.platform_call(call.name(), page.answer.outcome());
     page
 }
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -175,7 +175,10 @@
                 };
                 write_answer(key, self.post("/kv/remove", &body, CALL))
             }
-            Call::Get { key } => read_answer(self.post("/kv/get", &Get { key: key.clone() }, CALL)),
+            // The platform's own answers are never old.
+            Call::Get { key } | Call::Peek { key } => {
+                read_answer(self.post("/kv/get", &Get { key: key.clone() }, CALL))
+            }
             Call::Range { prefix, after, limit } => {
                 read_answer(self.post("/kv/range", &range(prefix, after, *limit, 0), CALL))
             }
