Hosts tell each other where long beginnings of prompts were read

In many the runner that had read it was idle: a runner that joins became the home of a part of all subjects, and a host knows only of its own placements, so it believed the new home had them. Others were spills behind prompts of 50,000 tokens (they pay) and runners that were replaced.

Change: subjects of 1,000 tokens or more are told with the news, 16 bytes each; a subject stays on the runners known to have read it, the home counts only where none is known. Runners keep the hash by which hosts name them.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -28,7 +28,7 @@
 
 use budget::Budgets;
 use fleet::{Fleet, Key};
-use load::{Meter, News, Peers};
+use load::{Meter, News, Peers, Reading};
 use memory::Memory;
 use place::{Choice, Demand};
 use proof::Proof;
@@ -74,6 +74,12 @@
 /// answers it.
 pub const WAY_ASKED: Duration = Duration::from_millis(1_000);
 
+/// Tokens from which a subject's place is told to the other hosts: 16 bytes a request
+/// and host, where reading it again takes an engine 15 ms or more.
+const TOLD: u64 = 1_000;
+/// Most places told at once.
+const READINGS: usize = 256;
+
 /// Least urgent rank: engines know ten.
 pub const LAST_RANK: u8 = 9;
 
@@ -137,6 +143,8 @@
     pub peers: Peers,
     /// What this host sends.
     pub meter: Meter,
+    /// Where long beginnings went since the last news.
+    readings: Vec<Reading>,
     /// Repeats that are left.
     pub budgets: Budgets,
     /// Usage of this host.
@@ -159,6 +167,7 @@
             memory: Memory::default(),
             peers: Peers::default(),
             meter: Meter::default(),
+            readings: Vec::new(),
             budgets: Budgets::default(),
             tally: Tally::default(),
             ledger: Ledger::default(),
@@ -279,13 +288,30 @@
         self.meter.add(now, &demand.service, choice.work);
         if let Some(subject) = demand.subject() {
             self.memory.note(now, subject.id, choice.key);
+            if subject.tokens >= TOLD {
+                self.tell(subject.id, choice.key);
+            }
         }
         Some(choice)
     }
 
+    /// Keeps in mind to tell the others where a subject is read.
+    fn tell(&mut self, subject: u64, key: Key) {
+        let Some(runner) = self.fleet.get(key).map(|runner| runner.hash) else {
+            return;
+        };
+        let reading = Reading { subject, runner };
+        if self.readings.len() < READINGS && !self.readings.contains(&reading) {
+            self.readings.push(reading);
+        }
+    }
+
     /// What this host tells the others.
-    pub fn news(&self, now: Moment, me: Incarnation, number: u64) -> News {
-        load::news(me, number, &self.fleet, self.meter.flows(now))
+    pub fn news(&mut self, now: Moment, me: Incarnation, number: u64) -> News {
+        News {
+            readings: std::mem::take(&mut self.readings),
+            ..load::news(me, number, &self.fleet, self.meter.flows(now))
+        }
     }
 
     /// Work that all hosts send to a service, in prompt tokens a second.
@@ -304,6 +330,11 @@
         if let Ok(record) = serde_json::from_slice(&news.record) {
             self.ledger.take(now, record);
         }
+        for reading in &news.readings {
+            if let Some(key) = self.fleet.find_hash(reading.runner) {
+                self.memory.note(now, reading.subject, key);
+            }
+        }
         self.peers.hear(now, me, news, &mut self.fleet, self.hosts);
     }
 
--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::load::Row;
 use super::place;
+use crate::id::digest;
 use crate::time::Moment;
 
 key! {
@@ -120,6 +121,8 @@
     pub struct Runner {
         /// As listed.
         pub listed: Listed,
+        /// Hash of its id, by which hosts name it to each other.
+        pub hash: u64,
         /// What this host has on it.
         pub own: Row,
         /// What other hosts have on it, as they last said.
@@ -175,6 +178,7 @@
     pub zone: String,
     arena: Vec<Runner>,
     ids: Vec<(String, Key)>,
+    hashes: Vec<(u64, Key)>,
     listed: Option<Moment>,
     back: Option<Moment>,
     /// Zones that cannot be reached, and until when they rest.
@@ -188,6 +192,7 @@
             zone: zone.to_string(),
             arena: Vec::new(),
             ids: Vec::new(),
+            hashes: Vec::new(),
             listed: None,
             back: None,
             cut: Vec::new(),
@@ -251,8 +256,12 @@
     fn add(&mut self, at: usize, listed: Listed) {
         let key = Key(self.arena.len() as u32);
         self.ids.insert(at, (listed.id.clone(), key));
+        let hash = digest(listed.id.as_bytes());
+        let at = self.hashes.partition_point(|(have, _)| *have < hash);
+        self.hashes.insert(at, (hash, key));
         self.arena.push(Runner {
             listed,
+            hash,
             own: Row::default(),
             others: Row::default(),
             long: false,
@@ -278,6 +287,12 @@
         Some(self.ids[at].1)
     }
 
+    /// A runner by the hash of its id.
+    pub fn find_hash(&self, hash: u64) -> Option<Key> {
+        let at = self.hashes.binary_search_by_key(&hash, |(have, _)| *have).ok()?;
+        Some(self.hashes[at].1)
+    }
+
     /// All runners that were ever listed.
     pub fn all(&self) -> impl Iterator<Item = (Key, &Runner)> {
         let keys = (0..self.arena.len() as u32).map(Key);
@@ -353,10 +368,10 @@
         }
     }
 
-    /// Replaces what other hosts have on each runner.
-    pub fn others(&mut self, of: impl Fn(&str) -> Row) {
+    /// Replaces what other hosts have on each runner, by the hash of its id.
+    pub fn others(&mut self, of: impl Fn(u64) -> Row) {
         for runner in &mut self.arena {
-            runner.others = of(&runner.listed.id);
+            runner.others = of(runner.hash);
         }
     }
 
--- a/crates/core/src/gate/load.rs
+++ b/crates/core/src/gate/load.rs
@@ -50,6 +50,17 @@
     pub rate: u64,
 }
 
+/// A runner that reads the beginning of prompts about a subject.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Reading {
+    /// Id of the part that the prompts share.
+    #[prost(fixed64, tag = "1")]
+    pub subject: u64,
+    /// Hash of the runner's id.
+    #[prost(fixed64, tag = "2")]
+    pub runner: u64,
+}
+
 /// What one host has on all runners.
 #[derive(Clone, PartialEq, Message)]
 pub struct News {
@@ -68,6 +79,9 @@
     /// Its usage record, in some of its news.
     #[prost(bytes = "vec", tag = "4")]
     pub record: Vec<u8>,
+    /// Long beginnings that it has sent since its last news, and where.
+    #[prost(message, repeated, tag = "7")]
+    pub readings: Vec<Reading>,
     /// Says only that the sender has just read something new in the store.
     #[prost(bool, tag = "6")]
     pub nudge: bool,
@@ -131,8 +145,7 @@
             .flat_map(|peer| peer.news.rows.iter().copied())
             .collect();
         rows.sort_unstable_by_key(|row| row.runner);
-        fleet.others(|id| {
-            let hash = digest(id.as_bytes());
+        fleet.others(|hash| {
             let from = rows.partition_point(|row| row.runner < hash);
             let own = rows[from..].iter().take_while(|row| row.runner == hash);
             own.fold(Row::default(), |sum, row| Row {
@@ -151,7 +164,7 @@
         .all()
         .filter(|(_, runner)| runner.own.running > 0)
         .map(|(_, runner)| Row {
-            runner: digest(runner.listed.id.as_bytes()),
+            runner: runner.hash,
             ..runner.own
         });
     News {
@@ -160,6 +173,7 @@
         rows: rows.collect(),
         flows,
         record: Vec::new(),
+        readings: Vec::new(),
         nudge: false,
     }
 }
--- a/crates/core/src/gate/memory.rs
+++ b/crates/core/src/gate/memory.rs
@@ -1,4 +1,5 @@
-//! Which runners have read the beginning of which prompts, as this host saw it.
+//! Which runners have read the beginning of which prompts, as this host saw it or
+//! was told.
 
 use std::time::Duration;
 
@@ -27,15 +28,12 @@
 }
 
 impl Memory {
-    /// Whether a runner has read the subject lately.
-    pub fn knows(&self, now: Moment, subject: u64, key: Key) -> bool {
+    /// Runners that have read the subject lately.
+    pub fn places(&self, now: Moment, subject: u64) -> impl Iterator<Item = Key> {
         let found = self.subjects.binary_search_by_key(&subject, |have| have.id);
-        found.is_ok_and(|at| {
-            let places = &self.subjects[at].places;
-            places
-                .iter()
-                .any(|(have, used)| *have == key && now.since(*used) < KEPT)
-        })
+        let places = found.map_or(&[][..], |at| &self.subjects[at].places);
+        let kept = places.iter().filter(move |(_, used)| now.since(*used) < KEPT);
+        kept.map(|(key, _)| *key)
     }
 
     /// A request about the subject goes to a runner.
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -7,15 +7,17 @@
 //! - A long prompt is read in chunks between the tokens of all requests beside
 //!   it and makes short streams pause. A part of each zone's runners is kept for
 //!   long prompts, and crossing over costs what the crossing harms.
-//! - Requests about one subject share the beginnings of their prompts. Each
-//!   subject has a home that all hosts compute alike (rendezvous hashing), and
-//!   reading its beginning again elsewhere costs more than a short wait.
+//! - Requests about one subject share the beginnings of their prompts. It stays on
+//!   the runners that have read it, as hosts tell each other, and reading it again
+//!   elsewhere costs more than a short wait. Where none has, it goes to a home that
+//!   all hosts compute alike (rendezvous hashing). By the home alone each runner that
+//!   joined took a part of all subjects along, which were read again there.
 //! - Many hosts choose at once from old news, so the work that was sent and not
 //!   yet read counts at once, not when a runner reports it.
 
 use super::fleet::{Fleet, Key, Runner};
 use super::memory::Memory;
-use crate::id::{digest, weight};
+use crate::id::weight;
 use crate::time::Moment;
 
 /// Prompt tokens from which a prompt counts as long. On the users' two sites the
@@ -112,7 +114,7 @@
 pub fn part(runners: &mut [Runner]) {
     let mut order: Vec<usize> = (0..runners.len()).filter(|at| runners[*at].is_listed()).collect();
     let group = |runner: &Runner| (runner.listed.service.clone(), runner.listed.zone.clone());
-    order.sort_by_cached_key(|at| (group(&runners[*at]), digest(runners[*at].listed.id.as_bytes())));
+    order.sort_by_cached_key(|at| (group(&runners[*at]), runners[*at].hash));
     let mut rest = order.as_slice();
     while let Some(first) = rest.first() {
         let key = group(&runners[*first]);
@@ -137,11 +139,13 @@
         let key = nearest(now, fleet, &open, demand)?;
         return Some(Choice { key, work: 0 });
     }
-    let home = home(&open, demand);
     let subject = demand.subject();
+    let places: Vec<Key> = subject.map_or(Vec::new(), |part| memory.places(now, part.id).collect());
+    let known = open.iter().any(|(key, _)| places.contains(key));
+    let home = if known { None } else { home(&open, demand) };
     let candidates = open.iter().map(|(key, runner)| {
         let kept = subject
-            .filter(|part| home == Some(*key) || memory.knows(now, part.id, *key))
+            .filter(|_| home == Some(*key) || places.contains(key))
             .map_or(0, |part| part.tokens);
         let shared = subject.map_or(0, |part| part.tokens);
         let work = work(demand.prompt, kept);
@@ -180,7 +184,7 @@
 /// The subject's home: the same on every host that knows the same runners.
 fn home(open: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
     let subject = demand.subject()?.id;
-    let rank = |runner: &Runner| weight(subject, digest(runner.listed.id.as_bytes()));
+    let rank = |runner: &Runner| weight(subject, runner.hash);
     let long = demand.is_long();
     let fits = |runner: &&(Key, &Runner)| runner.1.long == long;
     let kept = open.iter().filter(fits).max_by_key(|(_, runner)| rank(runner));
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -24,7 +24,7 @@
         number += 1;
         let (mut news, pause) = {
             let now = shared.now();
-            let state = shared.state();
+            let mut state = shared.state();
             (state.news(now, shared.me, number), load::beat(state.hosts))
         };
         if number % load::RECORD_EVERY == 0 {
@@ -32,7 +32,8 @@
             news.record = serde_json::to_vec(&shared.record(false)).unwrap_or_default();
         }
         // That nothing runs any more is said once.
-        if !news.rows.is_empty() || !news.record.is_empty() || !idle {
+        let says_more = !news.record.is_empty() || !news.readings.is_empty();
+        if !news.rows.is_empty() || says_more || !idle {
             idle = news.rows.is_empty();
             send(&shared, &socket, &news).await;
         }
--- a/tests/suite/gate/place.rs
+++ b/tests/suite/gate/place.rs
@@ -1,25 +1,36 @@
 //! Where requests go under load.
 
-use radishstair_core::gate::fleet::Fleet;
+use radishstair_core::gate::State;
+use radishstair_core::gate::fleet::{Fleet, Listed};
 use radishstair_core::gate::load::{self, Meter, Peers, Row};
 use radishstair_core::gate::memory::Memory;
 use radishstair_core::gate::place::{self, Demand, Part};
 use radishstair_core::id::Incarnation;
 use radishstair_core::time::Moment;
 
-use super::build::runner;
+use super::build::{bounds, runner};
 
 fn at(ms: u64) -> Moment {
     Moment::at_ms(100_000 + ms)
 }
 
+fn listed(count: usize) -> Vec<Listed> {
+    let listed = (0..count).map(|at| runner(&format!("r{at}"), "engines", &format!("zone-{}", at % 2)));
+    listed.collect()
+}
+
 fn fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new("zone-0");
-    let listed = (0..count).map(|at| runner(&format!("r{at}"), "engines", &format!("zone-{}", at % 2)));
-    fleet.list(at(0), listed.collect());
+    fleet.list(at(0), listed(count));
     fleet
 }
 
+fn host(runners: usize) -> State {
+    let mut state = State::new(bounds(), "zone-0");
+    state.fleet = fleet(runners);
+    state
+}
+
 fn demand(prompt: u64, subject: u64) -> Demand {
     Demand {
         service: "engines".into(),
@@ -86,6 +97,44 @@
     }
 }
 
+/// A runner joins and would be the home of some subjects. Their beginnings lie on the
+/// runners that have read them; moved, thousands of tokens would be read again for
+/// nothing. They stay while their runner is there, on all hosts that were told.
+#[test]
+fn subjects_stay_where_they_were_read_when_a_runner_joins() {
+    let (mut one, mut other) = (host(14), host(14));
+    let wanted: Vec<_> = (0..100).map(|subject| demand(12_000, subject)).collect();
+    let place = |state: &mut State, demand, ms| {
+        let choice = state.place(at(ms), demand, &[]).expect("one");
+        state.fleet.end(choice.key, choice.work, demand.held());
+        state.fleet.get(choice.key).expect("known").listed.id.clone()
+    };
+    let first: Vec<_> = wanted.iter().map(|demand| place(&mut one, demand, 1)).collect();
+    let news = one.news(at(2), Incarnation(1), 1);
+    assert_eq!(news.readings.len(), 100);
+    other.hear(at(3), Incarnation(2), news);
+    for state in [&mut one, &mut other] {
+        state.fleet.list(at(4), listed(20));
+        let then: Vec<_> = wanted.iter().map(|demand| place(state, demand, 5)).collect();
+        assert_eq!(first, then);
+    }
+    let mut stranger = host(20);
+    let moved = wanted
+        .iter()
+        .zip(&first)
+        .filter(|(demand, first)| place(&mut stranger, demand, 5) != **first);
+    assert!(moved.count() > 10, "a host that was not told moves some");
+    let mut left = listed(20);
+    left.retain(|runner| runner.id != first[0]);
+    one.fleet.list(at(2_000), left.clone());
+    one.fleet.list(at(4_000), left);
+    assert_ne!(
+        place(&mut one, &wanted[0], 4_100),
+        first[0],
+        "its runner has left"
+    );
+}
+
 /// One subject gets most of the traffic and its home falls behind. Requests
 /// leave it when the wait there costs more than reading the beginning anew, and
 /// those that follow find the second place.
