A peer's word is good while it is young or has learnt something; longer waits for long answers

By the log: both hosts that read were cut off from the store at 8.0 s and went on answering others with what they knew as of 7.44 s; its age was under 1.3 s at two more questions, so the others read the store at 9.26 s only.

Change: a peer helps if its knowledge is under 0.75 s old, or under 1.3 s and newer than at the last question (share::helps, with a test of the order of events). Answers must begin within 0.25 s and end within 0.7 s, 2 s for all keys. Where no peer helps and a long list is young, the document alone is read.

--- a/crates/core/src/gate/mirror.rs
+++ b/crates/core/src/gate/mirror.rs
@@ -107,6 +107,16 @@
 }
 
 impl Mirror {
+    /// Number of keys.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Keys under a prefix, in order.
     pub fn under(&self, prefix: &str) -> &[Entry] {
         let from = self.entries.partition_point(|entry| entry.key.as_str() < prefix);
--- a/crates/core/src/gate/share.rs
+++ b/crates/core/src/gate/share.rs
@@ -20,6 +20,12 @@
 const HOSTS: usize = 24;
 /// How long a host that could not help is not asked again.
 const REST: Duration = Duration::from_secs(2);
+/// Age of what a peer knows up to which it helps, whatever it knew before: a host that
+/// reads does so every 0.6 s.
+const FRESH: Duration = Duration::from_millis(750);
+/// The same where it has learnt something since it was asked last: reading thousands
+/// of keys takes a small host most of a second.
+const FRESH_ANEW: Duration = Duration::from_millis(1_300);
 
 plain! {
     /// Where a host learns what is new.
@@ -38,6 +44,16 @@
     resting: Vec<(SocketAddr, Moment)>,
 }
 
+/// Whether a peer's word is good enough not to ask the store; `as_of` is the moment of
+/// its knowledge, `before` that of what was known before.
+///
+/// A peer that the store no longer answers goes on answering others. By its age alone
+/// its word was taken twice more, and runners that had left got requests for 2.1 s.
+pub fn helps(now: Moment, as_of: Moment, before: Option<Moment>) -> bool {
+    let anew = before.is_none_or(|before| as_of.since(before) > Duration::ZERO);
+    now.since(as_of) < if anew { FRESH_ANEW } else { FRESH }
+}
+
 impl Share {
     /// Where to look first. `hosts` are all that live, `me` among them.
     pub fn first(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Source {
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -20,9 +20,17 @@
 
 const PATH: &str = "/changes";
 const AFTER: &str = "after=";
-/// Longest wait for a peer, a new connection to it included: ten times the way to
-/// another zone and back, and a pause of its control thread.
-const WAIT: Duration = Duration::from_millis(120);
+/// Longest wait for a peer's answer to begin, a new connection to it included: a host
+/// whose peer is cut off must still read the store in time to leave runners alone that
+/// have left two seconds ago.
+const WAIT_HEAD: Duration = Duration::from_millis(250);
+/// Longest wait for the whole answer: when hundreds of runners change at once, a
+/// megabyte goes to 25 hosts at a time.
+const WAIT: Duration = Duration::from_millis(700);
+/// The same for all keys: a megabyte at 3,000 runners, for 25 hosts at a time after a
+/// start of all. Given up too soon, it would be asked for again and again, and fill the
+/// peer's link with answers that nobody takes.
+const WAIT_WHOLE: Duration = Duration::from_secs(2);
 
 /// Answers a peer.
 pub fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
@@ -45,7 +53,8 @@
     let mut request = Request::new(Bytes::new());
     // Made of a fixed path and a number only.
     *request.uri_mut() = format!("{PATH}?{AFTER}{after}").parse().unwrap_or_default();
-    match asker.ask(peer, request, WAIT).await {
+    let wait = if after == 0 { WAIT_WHOLE } else { WAIT };
+    match asker.ask_patiently(peer, request, WAIT_HEAD, wait).await {
         Asked::Answer(StatusCode::OK, body) => Changes::decode(body).ok(),
         Asked::Answer(..) | Asked::Never | Asked::Lost => None,
     }
--- a/crates/entry/src/gate/store.rs
+++ b/crates/entry/src/gate/store.rs
@@ -9,9 +9,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
-use tokio::time::timeout;
+use hyper::{Request, Response, StatusCode};
+use tokio::time::{Instant, timeout};
 
 use crate::upstream::line::{self, Line, Sent};
 
@@ -42,29 +43,54 @@
 impl Asker {
     /// Asks within a time limit.
     pub async fn ask(&self, address: SocketAddr, request: Request<Bytes>, limit: Duration) -> Asked {
+        self.ask_patiently(address, request, limit, limit).await
+    }
+
+    /// Asks with a time limit for the answer to begin, and one for all of it.
+    pub async fn ask_patiently(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        head: Duration,
+        limit: Duration,
+    ) -> Asked {
         let mut left = false;
-        let asked = timeout(limit, self.send(address, request, &mut left)).await;
-        match asked {
-            Ok(asked) => asked,
-            Err(_) if left => Asked::Lost,
-            Err(_) => Asked::Never,
-        }
+        let began = Instant::now();
+        let (line, response) = match timeout(head, self.send(address, request, &mut left)).await {
+            Ok(Ok(begun)) => begun,
+            Ok(Err(asked)) => return asked,
+            Err(_) if left => return Asked::Lost,
+            Err(_) => return Asked::Never,
+        };
+        let rest = limit.saturating_sub(began.elapsed());
+        timeout(rest, self.collect(line, response))
+            .await
+            .unwrap_or(Asked::Lost)
     }
 
-    async fn send(&self, address: SocketAddr, request: Request<Bytes>, left: &mut bool) -> Asked {
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        left: &mut bool,
+    ) -> Result<(Line, Response<Incoming>), Asked> {
         let Some(mut line) = self.line(address).await else {
-            return Asked::Never;
+            return Err(Asked::Never);
         };
         let (mut parts, body) = request.into_parts();
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             parts.headers.insert(HOST, host);
         }
         *left = true;
-        let response = match line.send(Request::from_parts(parts, Full::new(body))).await {
-            Sent::Answer(response) => response,
-            Sent::Never => return Asked::Never,
-            Sent::Maybe => return Asked::Lost,
-        };
+        match line.send(Request::from_parts(parts, Full::new(body))).await {
+            Sent::Answer(response) => Ok((line, response)),
+            Sent::Never => Err(Asked::Never),
+            Sent::Maybe => Err(Asked::Lost),
+        }
+    }
+
+    /// Reads an answer to its end; its connection serves on then.
+    async fn collect(&self, line: Line, response: Response<Incoming>) -> Asked {
         let (parts, body) = response.into_parts();
         let Ok(body) = Limited::new(body, BYTES).collect().await else {
             return Asked::Lost;
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::gate::share::{Share, Source};
+use radishstair_core::gate::share::{self, Share, Source};
 use radishstair_core::gate::{WAY_ASKED, mirror};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
@@ -36,9 +36,11 @@
 const LEAST: Duration = Duration::from_millis(50);
 /// Longest wait for one page; a slow store takes a quarter of a second.
 const PAGE: Duration = Duration::from_millis(700);
-/// Age of what a peer told past which the store is asked: a peer that reads has
-/// read within one round and an answer that was lost.
-const STALE: Duration = Duration::from_millis(1_300);
+/// Age of what is known of a long list up to which a host that no peer helps reads the
+/// document alone. Hundreds of hosts that read thousands of runners at once kept the
+/// store's link full, and each other from reading; runners that leave must get nothing
+/// new after two seconds.
+const LISTED: Duration = Duration::from_millis(1_600);
 /// Keys of a page that are asked for.
 const LIMIT: u32 = 500;
 /// Times that a host which has just started asks a peer before it reads a long list
@@ -116,7 +118,11 @@
         {
             return self.known(Source::Peer(peer));
         }
-        if self.read().await {
+        let read = match first {
+            Source::Peer(_) if self.has_long_list(began) => self.read_document().await,
+            _ => self.read().await,
+        };
+        if read {
             self.regained(began);
             return self.known(Source::Store);
         }
@@ -144,14 +150,18 @@
 
     /// Asks a peer; whether what is known is fresh then.
     async fn ask(&mut self, peer: SocketAddr) -> bool {
-        let after = self.shared.mirror().upto();
+        let (after, before) = {
+            let mirror = self.shared.mirror();
+            (mirror.upto(), mirror.as_of())
+        };
         let told = match self.ask_after(peer, after).await {
             // Something was missed; all keys tell what.
             Some(false) => self.ask_after(peer, 0).await,
             told => told,
         };
         let as_of = self.shared.mirror().as_of();
-        let fresh = as_of.is_some_and(|as_of| self.shared.now().since(as_of) < STALE);
+        let now = self.shared.now();
+        let fresh = as_of.is_some_and(|as_of| share::helps(now, as_of, before));
         let helped = told == Some(true) && fresh;
         self.shared
             .metrics
@@ -186,6 +196,27 @@
         &self.peers[at].1
     }
 
+    /// Whether a list of several pages is known, and not old.
+    fn has_long_list(&self, now: Moment) -> bool {
+        let mirror = self.shared.mirror();
+        let young = |as_of: Moment| now.since(as_of) < LISTED;
+        mirror.len() > LIMIT as usize && mirror.as_of().is_some_and(young)
+    }
+
+    /// Reads the operator's document alone; whether it came.
+    async fn read_document(&mut self) -> bool {
+        let sent = self.shared.now();
+        let key = self.shared.dialect.keys().document.to_string();
+        let page = ask(&self.shared, &self.store, &Call::Get { key }, PAGE).await;
+        let Answer::Found(entries) = page.answer else {
+            return false;
+        };
+        if let Some(entry) = entries.first() {
+            self.beliefs.configure(sent, entry);
+        }
+        true
+    }
+
     /// Reads all keys from the store; whether all pages came.
     ///
     /// The document is put in force as soon as its page has come: behind a long
--- a/tests/suite/gate/share.rs
+++ b/tests/suite/gate/share.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use radishstair_core::gate::share::{Share, Source};
+use radishstair_core::gate::share::{self, Share, Source};
 use radishstair_core::time::Moment;
 
 fn hosts(count: u8) -> Vec<SocketAddr> {
@@ -85,3 +85,23 @@
     }
     assert_eq!(asked.len(), 3, "all but itself");
 }
+
+/// A runner that has left gets requests for more than two seconds. The host's peer lost
+/// the store just before the runner left, and goes on answering with what it knew. Its
+/// word is good while it is as young as a reader's can be, and then only if it has
+/// learnt something since.
+#[test]
+fn a_peer_that_has_lost_the_store_is_not_believed_for_long() {
+    let at = |ms: u64| Moment::at_ms(10_000 + ms);
+    let known = at(0);
+    assert!(share::helps(at(600), known, Some(known)), "it reads every 0.6 s");
+    assert!(
+        !share::helps(at(1_200), known, Some(known)),
+        "it should have read again"
+    );
+    assert!(
+        share::helps(at(1_200), at(100), Some(known)),
+        "it has, and took its time"
+    );
+    assert!(!share::helps(at(1_500), at(100), Some(known)));
+}
