Both fronts send to runners through one exchange; the log counts no runners anew

Cause: the opaque front classified sends and gave connections back by code of its own beside upstream::send; and each request's log line scanned all runners once more (thousands at the two-year size) to say how many were open.

Change: upstream::exchange sends on a connection that was taken, for both fronts; connections go back as Kept. The choice tells among how many runners it was made. No behaviour changes.

The steps around it (looking for a runner, repeating) still stand once a front.

--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -106,6 +106,8 @@
         pub key: Key,
         /// Work that the prompt is for it, in tokens.
         pub work: u64,
+        /// Runners that it was chosen among.
+        pub among: u32,
     }
 }
 
@@ -135,9 +137,10 @@
         .open(now, &demand.service)
         .filter(|(key, _)| !tried.contains(key))
         .collect();
+    let among = open.len() as u32;
     if demand.prompt == 0 {
         let key = nearest(now, fleet, &open, demand)?;
-        return Some(Choice { key, work: 0 });
+        return Some(Choice { key, work: 0, among });
     }
     let subject = demand.subject();
     let places: Vec<Key> = subject.map_or(Vec::new(), |part| memory.places(now, part.id).collect());
@@ -156,6 +159,7 @@
     Some(Choice {
         key: least.1,
         work: least.2,
+        among,
     })
 }
 
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -152,7 +152,7 @@
     if !job.is_stream() && result.is_ok() {
         shared.metrics.first_after(route, now.since(job.arrived));
     }
-    let (proof_ms, runners) = beliefs(&shared, now, &job.admission.service);
+    let proof_ms = shared.state().proof.age(now).map(|age| age.as_millis() as u64);
     tracing::info!(
         event = "request",
         request = job.head.id,
@@ -167,18 +167,11 @@
         runner = tries.last,
         after_ms,
         proof_ms,
-        runners,
+        runners = tries.among,
     );
     result
 }
 
-/// Age of the proof and number of open runners, for the log.
-fn beliefs(shared: &Shared, now: Moment, service: &str) -> (Option<u64>, usize) {
-    let state = shared.state();
-    let proof = state.proof.age(now).map(|age| age.as_millis() as u64);
-    (proof, state.fleet.open(now, service).count())
-}
-
 fn admit(shared: &Shared, parts: &request::Parts, head: &Head) -> Result<Admission, Refusal> {
     let now = shared.now();
     let mut state = shared.state();
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -24,8 +24,8 @@
 use super::dialect::{Mark, Pass};
 use super::job::{Job, Tries};
 use super::reply::{self, Body};
-use crate::upstream::line::{self, Line, Sent};
 use crate::upstream::pool::{self, Pool};
+use crate::upstream::{self, Exchange, Failure, Kept};
 
 /// Most bytes of a plain answer, which is held until it is whole.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -45,6 +45,7 @@
     address: SocketAddr,
     work: u64,
     held: u64,
+    among: u32,
 }
 
 impl Slot {
@@ -72,8 +73,8 @@
 pub struct Opened {
     /// Place on the runner.
     pub slot: Slot,
-    /// Connection.
-    pub line: Line,
+    /// Connection, to be given back once the answer was read whole.
+    pub kept: Kept,
     /// Head.
     pub parts: response::Parts,
     /// Body.
@@ -145,11 +146,13 @@
                 return Err(self.over(job, tries));
             }
             let Some(slot) = self.pick(now, job, &tries.tried) else {
+                tries.among = 0;
                 return Err(self.refusal(job, tries, Kind::NoRunner));
             };
             let key = slot.key;
             tries.tried.push(key);
             tries.last = Some(slot.id.clone());
+            tries.among = slot.among;
             match self.attempt(job, after, slot, tries).await {
                 Attempt::Opened(opened) => return Ok(*opened),
                 Attempt::Unreachable => {
@@ -205,6 +208,7 @@
             address,
             work: choice.work,
             held: demand.held(),
+            among: choice.among,
         })
     }
 
@@ -212,7 +216,7 @@
         let now = self.shared.now();
         let limit = job.left(now).unwrap_or(pool::CONNECT);
         let taken = self.pool.take(now, slot.address, job.once(), limit).await;
-        let mut line = match taken {
+        let line = match taken {
             Ok(taken) => taken,
             Err(err) => {
                 tracing::info!(event = "runner-unreachable", request = job.head.id, runner = slot.id, reason = %format!("{err:#}"));
@@ -235,17 +239,18 @@
         }
         let request = self.request(now, job, after, &slot);
         tries.sent += 1;
+        let exchange = upstream::exchange(line, slot.address, request);
         let sent = match job.left(now) {
-            Some(left) => timeout(left, line.send(request)).await,
-            None => Ok(line.send(request).await),
+            Some(left) => timeout(left, exchange).await,
+            None => Ok(exchange.await),
         };
         match sent {
-            Ok(Sent::Answer(response)) => self.judge(job, slot, line, response).await,
-            Ok(Sent::Never) => {
+            Ok(Ok(exchange)) => self.judge(job, slot, exchange).await,
+            Ok(Err(Failure::NotSent)) => {
                 tries.sent -= 1;
                 Attempt::Unreachable
             }
-            Ok(Sent::Maybe) => {
+            Ok(Err(Failure::Broken)) => {
                 slot.sign(Sign::Broken);
                 tracing::info!(
                     event = "runner-broke-off",
@@ -263,7 +268,8 @@
     }
 
     /// Sorts an answer by its head.
-    async fn judge(&self, job: &Job, slot: Slot, line: Line, response: Response<Incoming>) -> Attempt {
+    async fn judge(&self, job: &Job, slot: Slot, exchange: Exchange) -> Attempt {
+        let (response, kept) = exchange.split();
         let (parts, body) = response.into_parts();
         let mark = self.shared.dialect.mark(&parts);
         if mark.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
@@ -280,7 +286,7 @@
             );
             let drained = timeout(DRAIN, Limited::new(body, 64 * 1024).collect()).await;
             if matches!(drained, Ok(Ok(_))) {
-                self.give(&slot, line, &parts);
+                self.give(&slot, kept);
             }
             return Attempt::NotRun;
         }
@@ -298,7 +304,7 @@
         }
         Attempt::Opened(Box::new(Opened {
             slot,
-            line,
+            kept,
             parts,
             body,
         }))
@@ -308,7 +314,7 @@
     pub(super) async fn collect(&self, job: &Job, opened: Opened) -> Option<(response::Parts, Bytes)> {
         let Opened {
             mut slot,
-            line,
+            kept,
             parts,
             body,
         } = opened;
@@ -326,17 +332,14 @@
             return None;
         };
         slot.sign(Sign::Sound);
-        self.give(&slot, line, &parts);
+        self.give(&slot, kept);
         Some((parts, body.to_bytes()))
     }
 
     /// Gives a connection back whose answer was read to its end.
-    pub fn give(&self, slot: &Slot, line: Line, parts: &response::Parts) {
-        if !line::closes(&parts.headers) {
-            let kept = line::keeps(&parts.headers);
-            self.pool.give(self.shared.now(), slot.address, line, kept);
-            self.tell_idle(slot);
-        }
+    pub fn give(&self, slot: &Slot, kept: Kept) {
+        kept.give(&self.pool, self.shared.now());
+        self.tell_idle(slot);
     }
 
     /// Lets placement know whether a new connection would be needed.
--- a/crates/entry/src/gate/job.rs
+++ b/crates/entry/src/gate/job.rs
@@ -89,6 +89,8 @@
     pub sent: u32,
     /// Id of the runner that was chosen last, for the log.
     pub last: Option<String>,
+    /// Runners that this one was chosen among, for the log.
+    pub among: u32,
     /// Runners that could not be reached.
     pub unreachable: u32,
     /// Whether it may have run.
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -285,12 +285,10 @@
     }
 
     fn finish(&self, run: Run) {
-        let Opened {
-            slot, line, parts, ..
-        } = run.opened;
+        let Opened { slot, kept, .. } = run.opened;
         slot.sign(Sign::Sound);
         if run.framed {
-            self.give(&slot, line, &parts);
+            self.give(&slot, kept);
         }
     }
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -106,7 +106,20 @@
         true => Line::connect(address, CONNECT).await,
         false => pool.take(now, address, false, CONNECT).await,
     };
-    let mut line = connected.map_err(|_| Failure::NotSent)?;
+    let line = connected.map_err(|_| Failure::NotSent)?;
+    exchange(line, address, request).await
+}
+
+/// Sends a request on a connection that was taken for it.
+///
+/// # Errors
+///
+/// Tells whether any byte can have gone out.
+pub async fn exchange(
+    mut line: Line,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Exchange, Failure> {
     match line.send(request).await {
         Sent::Answer(response) => Ok(Exchange {
             line,
