--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -186,12 +186,33 @@
     /// One that runs at most once and may have run must not; anything less
     /// strict would post an entry twice.
     pub fn may_repeat(&self, job: &Job, tries: &Tries) -> bool {
+        let reason = self.barred(job, tries);
+        if let Some(reason) = reason {
+            tracing::info!(
+                event = "not-repeated",
+                request = job.head.id,
+                reason,
+                sent = tries.sent,
+                ran = tries.ran
+            );
+        }
+        reason.is_none()
+    }
+
+    /// Why the request may not be sent once more.
+    fn barred(&self, job: &Job, tries: &Tries) -> Option<&'static str> {
         let now = self.shared.now();
-        let harmless = !tries.ran || !job.once();
-        harmless
-            && !job.is_over(now)
-            && tries.sent < job.admission.route.attempts
-            && self.shared.state().may_repeat(now, &job.admission.service)
+        if tries.ran && job.once() {
+            return Some("may-have-run");
+        }
+        if job.is_over(now) {
+            return Some("time-over");
+        }
+        if tries.sent >= job.admission.route.attempts {
+            return Some("attempts-spent");
+        }
+        let left = self.shared.state().may_repeat(now, &job.admission.service);
+        (!left).then_some("budget-spent")
     }
 
     fn pick(&self, now: Moment, job: &Job, tried: &[Key]) -> Option<Slot> {
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -265,7 +265,7 @@
 
     /// Another runner that goes on after `last`.
     async fn resume(&self, job: &Job, last: Option<u64>, tries: &mut Tries) -> Option<Run> {
-        let last = last.filter(|_| !job.once())?;
+        let last = last?;
         if !self.may_repeat(job, tries) {
             return None;
         }
