--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -2,7 +2,7 @@
 //!
 //! A short call over HTTP on the peers' port: the question names the revision up
 //! to which the asker has seen everything, the answer is a
-//! [`Changes`](radishstair_core::gate::mirror::Changes) message.
+//! [`Changes`] message.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -3,7 +3,7 @@
 //! A few hosts read all keys anew each round: an open watch is no proof (it may be
 //! cut without a sign, or hear nothing while history is dropped). The other hosts
 //! ask one of them for what has changed, and read the store only where no peer can
-//! help; see [`share`](radishstair_core::gate::share).
+//! help; see [`share`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
