Idle time does not slow the foretold pace; a start that is late, not half late, foretells a wait

Traced by printing each answer: 15 were refused as overloaded, all calls of one host, with times to come back 4 s apart.

Change: time in which a host has nothing waiting and nothing running does not count into the span of its starts. A test without sockets: a burst after ten idle seconds that an engine serves in time is not refused.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -123,6 +123,8 @@
     /// Priorities of the tiers that use each pool.
     users: Vec<(String, Vec<u8>)>,
     waiting: usize,
+    /// This host's calls on all runners.
+    running: usize,
     decayed: Moment,
     /// Seconds that the decayed counts stand for.
     span: f64,
@@ -145,6 +147,7 @@
             waiting_mates: Arc::default(),
             users: Vec::new(),
             waiting: 0,
+            running: 0,
             decayed: Moment::default(),
             span: 0.0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -252,6 +255,7 @@
     pub fn release(&mut self, now: Moment, seek: &Seek, runner: Key, outcome: &Outcome) -> Vec<Decision> {
         self.decay(now);
         self.runners.finish(runner);
+        self.running = self.running.saturating_sub(1);
         let tokens = match outcome {
             Outcome::Whole { tokens, pace } => {
                 self.runners.record_success(runner, *pace);
@@ -382,6 +386,7 @@
         let rng = &mut self.rng;
         let (item, runner) = self.lanes[at].take(self.policy, |seek| chooser.choose(runners, rng, seek))?;
         self.waiting -= 1;
+        self.running += 1;
         self.runners.start(runner);
         let listed = &self.runners.get(runner).listed;
         Some(Start {
@@ -421,7 +426,15 @@
         self.decayed = now;
         let seconds = span.as_secs_f64();
         let factor = 0.5_f64.powf(seconds / HALF_LIFE.as_secs_f64());
-        self.span = (self.span + seconds.min(HALF_LIFE.as_secs_f64())) * factor;
+        // An idle host starts nothing because nobody calls. Counted, the first calls of
+        // a burst foretold waits of many seconds and had the rest refused.
+        let idle = self.waiting == 0 && self.running == 0;
+        let counted = if idle && self.policy.yields() {
+            0.0
+        } else {
+            seconds
+        };
+        self.span = (self.span + counted.min(HALF_LIFE.as_secs_f64())) * factor;
         for lane in &mut self.lanes {
             lane.decay(factor, RETRY_SHARE, RETRY_LEAST);
         }
--- a/crates/core/src/dispatch/wait.rs
+++ b/crates/core/src/dispatch/wait.rs
@@ -65,7 +65,8 @@
             .sum();
         // Before a few starts only what has waited tells anything.
         if starts < STARTS_KNOWN {
-            let stuck = self.stuck(now, at).filter(|stuck| *stuck > limit);
+            let late = self.tier(at).target;
+            let stuck = self.stuck(now, at).filter(|stuck| *stuck > late);
             return stuck.map(|stuck| stuck * 2);
         }
         if ahead + own == 0 {
@@ -89,8 +90,9 @@
     ///
     /// A host whose mates hold every slot sees no start for seconds. Each new call
     /// waited until it was late and was then set aside, so that the next one seemed to
-    /// have nobody before it, and nobody was told to come back. What has not begun for
-    /// some time is foretold to take as long again.
+    /// have nobody before it, and nobody was told to come back. What has not begun by
+    /// its target is foretold to take as long again. Half of the target, as elsewhere,
+    /// says too little: a host that has just started has two long calls and no pace.
     fn stuck(&self, now: Moment, at: usize) -> Option<Duration> {
         let lane = &self.lanes[at];
         let hardly = self.policy.yields() && lane.starts() < STARTS_KNOWN;
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -423,3 +423,49 @@
         .hear(now, Incarnation(9), &radishstair_core::peer::Shares::default());
     assert_eq!(started(&dispatch.tick(now))[0], 4, "and goes first");
 }
+
+/// A host had nothing to do for ten seconds; then a burst comes. Its pace was counted
+/// over the idle time as well, so the first calls that had to wait foretold seconds,
+/// and the rest of the burst was refused beside an engine that served it in time.
+#[test]
+fn idle_time_does_not_slow_the_foretold_pace() {
+    let mut dispatch = dispatch(DOCUMENT, &[("p", "a", 2)]);
+    let at = |ms: u64| Moment::at_ms(1_000 + ms);
+    for ms in (0..10_000).step_by(100) {
+        dispatch.tick(at(ms));
+    }
+    let mut running = std::collections::VecDeque::new();
+    let mut refused = 0;
+    for step in 0..30_u64 {
+        let now = at(10_000 + step * 50);
+        // Calls take 100 ms on each of two slots; one comes every 50 ms, and four more
+        // at the beginning.
+        for more in 0..if step == 0 { 5 } else { 1 } {
+            let decisions = dispatch.seek(now, seek(step * 10 + more, "best", "p"));
+            let refuses = |decision: &&Decision| matches!(decision, Decision::Refuse(..));
+            refused += decisions.iter().filter(refuses).count();
+            running.extend(started_at(&decisions, now));
+        }
+        while running
+            .front()
+            .is_some_and(|(_, _, since)| now.since(*since).as_millis() >= 100)
+        {
+            let (call, runner, _) = running.pop_front().expect("there is one");
+            let whole = Outcome::Whole {
+                tokens: 10,
+                pace: 10.0,
+            };
+            let decisions = dispatch.release(now, &seek(call, "best", "p"), runner, &whole);
+            running.extend(started_at(&decisions, now));
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
+fn started_at(decisions: &[Decision], now: Moment) -> Vec<(u64, radishstair_core::runner::Key, Moment)> {
+    let start = |decision: &Decision| match decision {
+        Decision::Start(start) => Some((start.call.0, start.runner, now)),
+        Decision::Refuse(..) => None,
+    };
+    decisions.iter().filter_map(start).collect()
+}
