Reading the store: one step a function

Last reading as a newcomer: connections to peers were inserted, sorted and searched again; one function read pages, stripped counts, put the document in force and decided whom to leave a long list to. Each has a function now.

--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -96,7 +96,7 @@
     beliefs: Beliefs,
     own: mpsc::Sender<Own>,
     share: Share,
-    /// Connections to the peers that were asked.
+    /// Connections to the peers that were asked, sorted by address.
     peers: Vec<(SocketAddr, Asker)>,
     /// Where the last round learned what is new.
     source: Option<Source>,
@@ -181,16 +181,16 @@
         Some(self.shared.mirror().take(asked, told))
     }
 
+    /// The connections to a peer; those to hosts that no longer live are dropped.
     fn connection(&mut self, peer: SocketAddr) -> &Asker {
+        let live = self.shared.peers.load();
+        self.peers
+            .retain(|(have, _)| *have == peer || live.contains(have));
         let at = match self.peers.binary_search_by_key(&peer, |(have, _)| *have) {
             Ok(at) => at,
             Err(at) => {
-                let live = self.shared.peers.load();
-                self.peers.retain(|(have, _)| live.contains(have));
-                let at = at.min(self.peers.len());
                 self.peers.insert(at, (peer, Asker::default()));
-                self.peers.sort_by_key(|(have, _)| *have);
-                self.peers.partition_point(|(have, _)| *have < peer)
+                at
             }
         };
         &self.peers[at].1
@@ -235,25 +235,15 @@
             let Answer::Found(mut entries) = page.answer else {
                 return false;
             };
-            for entry in entries.iter_mut().filter(|entry| entry.key.starts_with(COUNTS)) {
-                // Only that they have changed is told on.
-                entry.value.clear();
-            }
-            let document = self.shared.dialect.keys().document;
-            if let Some(entry) = entries.iter().find(|entry| entry.key == document) {
-                changed |= self.beliefs.configure(sent, entry);
-            }
-            let last = entries
-                .last()
-                .filter(|_| page.more)
-                .map(|entry| entry.key.clone());
-            if after.is_empty() && last.is_some() && self.defers() {
-                let hosts = records::hosts(&entries);
-                let me = self.shared.settings.load().peer_listen;
-                if let Source::Peer(peer) = self.share.first(sent, me, &hosts) {
-                    self.deferred += 1;
-                    return self.ask(peer).await;
-                }
+            strip_counts(&mut entries);
+            changed |= self.configure(sent, &entries);
+            let last = entries.last().filter(|_| page.more);
+            let last = last.map(|entry| entry.key.clone());
+            if after.is_empty()
+                && last.is_some()
+                && let Some(peer) = self.defers(sent, &entries)
+            {
+                return self.ask(peer).await;
             }
             self.shared.mirror().page(mirror::Page {
                 after,
@@ -274,11 +264,28 @@
         true
     }
 
-    /// Whether a long list is left to the hosts that read: nothing is known yet, as
-    /// after a start. When hundreds of hosts start at once, the store would turn most
-    /// of them away again and again.
-    fn defers(&self) -> bool {
-        self.deferred < DEFERRED && self.shared.mirror().upto() == 0
+    /// Puts the document in force if the page has it; whether it is new.
+    fn configure(&mut self, sent: Moment, page: &[Entry]) -> bool {
+        let key = self.shared.dialect.keys().document;
+        let document = page.iter().find(|entry| entry.key == key);
+        document.is_some_and(|entry| self.beliefs.configure(sent, entry))
+    }
+
+    /// The host to which a long list is left, by its first page: one that reads, while
+    /// nothing is known yet, as after a start. When hundreds of hosts start at once, the
+    /// store would turn most of them away again and again.
+    fn defers(&mut self, now: Moment, first: &[Entry]) -> Option<SocketAddr> {
+        if self.deferred >= DEFERRED || self.shared.mirror().upto() > 0 {
+            return None;
+        }
+        let me = self.shared.settings.load().peer_listen;
+        match self.share.first(now, me, &records::hosts(first)) {
+            Source::Store => None,
+            Source::Peer(peer) => {
+                self.deferred += 1;
+                Some(peer)
+            }
+        }
     }
 
     /// Puts in force what all keys say; whether any runner has changed.
@@ -335,6 +342,13 @@
     }
 }
 
+/// Leaves of the counts only that they have changed, which is all that is told on.
+fn strip_counts(entries: &mut [Entry]) {
+    for entry in entries.iter_mut().filter(|entry| entry.key.starts_with(COUNTS)) {
+        entry.value.clear();
+    }
+}
+
 /// Asks the store now and then whether it still answers this host, where nothing
 /// else has asked it.
 pub async fn watch_way(shared: Arc<Shared>, store: Arc<Asker>) {
