Runs are looked up in one place, and a page's size is named once

Found in the last reading of the change: the ledger searched its rows three times by the same four lines, and both readers of the store named the size of a page.

--- a/crates/core/src/gate/tally.rs
+++ b/crates/core/src/gate/tally.rs
@@ -114,10 +114,7 @@
 impl Ledger {
     /// Takes a record in, unless one that reaches further is known.
     pub fn take(&mut self, now: Moment, record: Record) {
-        let found = self
-            .rows
-            .binary_search_by_key(&record.incarnation, |row| row.record.incarnation);
-        match found {
+        match self.find(record.incarnation) {
             Ok(at) => {
                 let have = &mut self.rows[at];
                 if (record.until, record.ended) > (have.record.until, have.record.ended) {
@@ -138,10 +135,7 @@
 
     /// Takes a run's presence in; what it counted is not known by this.
     pub fn show(&mut self, now: Moment, presence: Presence) {
-        let found = self
-            .rows
-            .binary_search_by_key(&presence.incarnation, |row| row.record.incarnation);
-        if let Ok(at) = found {
+        if let Ok(at) = self.find(presence.incarnation) {
             self.rows[at].record.ended |= presence.ended;
             return;
         }
@@ -168,10 +162,7 @@
 
     /// A run has written its counts anew, in this version: it lives.
     pub fn stir(&mut self, now: Moment, incarnation: Incarnation, version: u64) {
-        let found = self
-            .rows
-            .binary_search_by_key(&incarnation, |row| row.record.incarnation);
-        if let Ok(at) = found
+        if let Ok(at) = self.find(incarnation)
             && self.rows[at].version < version
         {
             self.rows[at].version = version;
@@ -201,6 +192,11 @@
         self.rows.extract_if(.., gone).map(|row| row.record).collect()
     }
 
+    /// Where a run's row stands, or would.
+    fn find(&self, run: Incarnation) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&run, |row| row.record.incarnation)
+    }
+
     /// Whether the host has started again since.
     fn is_replaced(&self, record: &Record) -> bool {
         let mut rows = self.rows.iter().map(|row| &row.record);
--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -18,7 +18,7 @@
 use super::Shared;
 use super::duty::WRITE;
 use super::store::Asker;
-use super::sync::{self, Own};
+use super::sync::{self, LIMIT, Own};
 
 /// Prefix of presences.
 const HOSTS: &str = "radishstair/host/";
@@ -37,8 +37,6 @@
 const AGAIN: Duration = Duration::from_millis(500);
 /// A pause between two reads past which the silence of hosts means nothing.
 const AWAY: Duration = Duration::from_millis(2_500);
-/// Keys of a page that are asked for.
-const LIMIT: u32 = 500;
 
 /// A key that this run writes.
 #[derive(Debug)]
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -42,7 +42,7 @@
 /// new after two seconds.
 const LISTED: Duration = Duration::from_millis(1_600);
 /// Keys of a page that are asked for.
-const LIMIT: u32 = 500;
+pub const LIMIT: u32 = 500;
 /// Times that a host which has just started asks a peer before it reads a long list
 /// itself: the peer may have just started, too, and be reading.
 const DEFERRED: u32 = 3;
