--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod order;
 pub mod peer;
 pub mod promise;
+pub mod repeat;
 pub mod runner;
 pub mod store;
 pub mod ticket;
--- /dev/null
+++ b/crates/core/src/repeat.rs
@@ -0,0 +1,165 @@
+//! Whether a request may go to one more runner.
+//!
+//! Both fronts ask here after each attempt that brought no answer. Once a byte of a
+//! request may have left, only the runner's own statement says that it did not run:
+//! after a reset, a closed connection or silence it may have. A request that runs at
+//! most once ends there; one more send could post an entry twice.
+
+use crate::error::{Ran, Refusal};
+
+plain! {
+    /// How an attempt at one runner ended without an answer.
+    #[derive(Copy, Eq)]
+    pub enum Fault {
+        /// No byte of the request has left.
+        Unreachable,
+        /// The runner states that it has not run it.
+        NotRun,
+        /// It may have run.
+        Broken,
+    }
+}
+
+plain! {
+    /// What a request allows.
+    #[derive(Copy, Eq)]
+    pub struct Rule {
+        /// Whether it may run at most once.
+        pub once: bool,
+        /// Runners that it may be sent to.
+        pub attempts: u32,
+        /// Runners that may turn out unreachable before its caller is told so.
+        pub unreachable: u32,
+    }
+}
+
+plain! {
+    /// Why no further runner gets a request.
+    #[derive(Copy, Eq)]
+    pub enum Bar {
+        /// It may have run, and runs at most once.
+        MayHaveRun,
+        /// The caller's or the route's time is over.
+        TimeOver,
+        /// It was sent to as many runners as it may be.
+        AttemptsSpent,
+        /// The budget of repeats is spent.
+        BudgetSpent,
+        /// None of the runners that were chosen could be reached.
+        Unreachable,
+    }
+}
+
+impl Bar {
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Bar::MayHaveRun => "may-have-run",
+            Bar::TimeOver => "time-over",
+            Bar::AttemptsSpent => "attempts-spent",
+            Bar::BudgetSpent => "budget-spent",
+            Bar::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// What one request has tried; `K` names a runner.
+#[derive(Clone, Debug)]
+pub struct Tries<K> {
+    tried: Vec<K>,
+    sent: u32,
+    unreachable: u32,
+    ran: bool,
+}
+
+impl<K> Default for Tries<K> {
+    fn default() -> Self {
+        Self {
+            tried: Vec::new(),
+            sent: 0,
+            unreachable: 0,
+            ran: false,
+        }
+    }
+}
+
+impl<K> Tries<K> {
+    /// A runner was chosen.
+    pub fn choose(&mut self, runner: K) {
+        self.tried.push(runner);
+    }
+
+    /// Bytes of the request may leave from now on.
+    pub fn send(&mut self) {
+        self.sent += 1;
+    }
+
+    /// The attempt ended without an answer; why no further runner gets the request,
+    /// if that is so.
+    ///
+    /// `over` tells whether its time is over; `budget` takes a repeat from the budget
+    /// and is asked last, as what it gives is spent.
+    pub fn fail(
+        &mut self,
+        rule: &Rule,
+        fault: Fault,
+        over: bool,
+        budget: impl FnOnce() -> bool,
+    ) -> Option<Bar> {
+        match fault {
+            Fault::Unreachable => {
+                self.unreachable += 1;
+                return (self.unreachable >= rule.unreachable).then_some(Bar::Unreachable);
+            }
+            Fault::NotRun => {}
+            Fault::Broken => self.ran = true,
+        }
+        if self.ran && rule.once {
+            return Some(Bar::MayHaveRun);
+        }
+        if over {
+            return Some(Bar::TimeOver);
+        }
+        if self.sent >= rule.attempts {
+            return Some(Bar::AttemptsSpent);
+        }
+        (!budget()).then_some(Bar::BudgetSpent)
+    }
+
+    /// What was sent has not left after all.
+    pub fn unsend(&mut self) {
+        self.sent -= 1;
+    }
+
+    /// The time is over while a runner may be at work.
+    pub fn run_out(&mut self) {
+        self.ran = true;
+    }
+
+    /// A refusal that says "not run" only if that is so: an earlier attempt may have
+    /// run, also where no further runner is to be had.
+    pub fn refuse(&self, refusal: Refusal) -> Refusal {
+        match self.ran {
+            true => Refusal {
+                ran: Ran::Unknown,
+                ..refusal
+            },
+            false => refusal,
+        }
+    }
+
+    /// Runners that were chosen.
+    pub fn tried(&self) -> &[K] {
+        &self.tried
+    }
+
+    /// Runners that it was sent to.
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Whether it may have run.
+    pub fn ran(&self) -> bool {
+        self.ran
+    }
+}
--- a/crates/entry/src/front/chat/job.rs
+++ b/crates/entry/src/front/chat/job.rs
@@ -12,6 +12,7 @@
 use radishstair_core::error::{Kind, Ran, Refusal};
 use radishstair_core::id::Call;
 use radishstair_core::kernel::{Event, Reply};
+use radishstair_core::repeat::{Fault, Rule, Tries};
 use radishstair_core::runner;
 use radishstair_core::usage::Item;
 use serde_json::Value;
@@ -22,16 +23,17 @@
 use crate::front::sse::Splitter;
 use crate::handle::Handle;
 use crate::metrics::Class;
+use crate::upstream::course::{self, Course, Stop};
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, Kept, Outgoing, leaves};
 
 /// Runners tried for one request.
-const TRIES: usize = 3;
+const TRIES: u32 = 3;
 /// Longest silence of a runner within a stream.
 const SILENCE: Duration = Duration::from_secs(20);
 
 /// Longest wait for the end of a body whose stream has ended.
-const END: Duration = Duration::from_millis(50);
+const TAIL: Duration = Duration::from_millis(50);
 
 type Pieces = mpsc::Sender<Piece>;
 type Head = oneshot::Sender<Result<String, Refusal>>;
@@ -52,57 +54,109 @@
     pub _flight: Flight,
 }
 
-/// How an attempt at one runner ended.
-enum Attempt {
-    Whole,
+/// Why an answer is not whole.
+#[derive(Debug)]
+enum End {
     CallerGone,
-    Failed(Refusal),
+    Refused(Refusal),
+}
+
+impl<T: Into<Refusal>> From<T> for End {
+    fn from(refusal: T) -> Self {
+        End::Refused(refusal.into())
+    }
+}
+
+/// A request that goes from runner to runner until its answer is whole; each goes on
+/// after what the caller has.
+struct Chat<'a> {
+    job: &'a Job,
+    state: &'a mut Progress,
+    pieces: &'a Pieces,
+    tries: Tries<runner::Key>,
+    /// How the last attempt ended.
+    last: Refusal,
+}
+
+impl Chat<'_> {
+    /// Generating may be repeated.
+    const RULE: Rule = Rule {
+        once: false,
+        attempts: TRIES,
+        unreachable: TRIES,
+    };
+}
+
+impl Course for Chat<'_> {
+    type Place = Start;
+    type Answer = ();
+    type End = End;
+
+    async fn place(&mut self) -> Result<Start, End> {
+        let start = self.job.seek(self.state, self.pieces, self.tries.tried()).await;
+        let start = start.map_err(|end| match end {
+            End::CallerGone => End::CallerGone,
+            End::Refused(refusal) => End::Refused(self.tries.refuse(refusal)),
+        })?;
+        if !self.tries.tried().is_empty() && self.state.usage.tokens > 0 {
+            let class = self.job.class();
+            self.job.handle.metrics.resumed.get_or_create(&class).inc();
+        }
+        self.tries.choose(start.runner);
+        Ok(start)
+    }
+
+    async fn attempt(&mut self, start: Start) -> Result<(), Stop<End>> {
+        self.tries.send();
+        let refusal = match self.job.attempt(&start, self.state, self.pieces).await {
+            Ok(()) => return Ok(()),
+            Err(End::Refused(refusal)) if refusal.kind != Kind::KeyWithdrawn => refusal,
+            Err(end) => return Err(Stop::Over(end)),
+        };
+        let fault = match refusal.kind {
+            Kind::NoRunner => {
+                self.tries.unsend();
+                Fault::Unreachable
+            }
+            _ => Fault::Broken,
+        };
+        self.last = refusal;
+        Err(Stop::Failed(fault))
+    }
+
+    fn fail(&mut self, fault: Fault) -> Option<End> {
+        let bar = self.tries.fail(&Self::RULE, fault, false, || true)?;
+        tracing::info!(event = "not-repeated", id = self.job.id, reason = bar.name());
+        Some(End::Refused(self.last.clone()))
+    }
 }
 
 impl Job {
     /// Runs it to its end, whatever that is.
     pub async fn run(self, head: Head, pieces: Pieces) {
-        let class = Class {
-            class: self.route.class.clone(),
-        };
         let mut state = Progress {
             head: Some(head),
             usage: Usage::default(),
         };
-        let mut avoid = Vec::new();
-        let mut outcome = Attempt::Failed(Kind::NoRunner.into());
-        for attempt in 0..TRIES {
-            let start = match self.seek(&mut state, &pieces, &avoid).await {
-                Ok(Some(start)) => start,
-                Ok(None) => {
-                    outcome = Attempt::CallerGone;
-                    break;
-                }
-                Err(refusal) => {
-                    outcome = Attempt::Failed(refusal);
-                    break;
-                }
-            };
-            if attempt > 0 && state.usage.tokens > 0 {
-                self.handle.metrics.resumed.get_or_create(&class).inc();
-            }
-            avoid.push(start.runner);
-            outcome = self.attempt(&start, &mut state, &pieces).await;
-            match &outcome {
-                Attempt::Failed(refusal) if refusal.kind != Kind::KeyWithdrawn => {}
-                _ => break,
-            }
-        }
+        let mut chat = Chat {
+            job: &self,
+            state: &mut state,
+            pieces: &pieces,
+            tries: Tries::default(),
+            last: Kind::NoRunner.into(),
+        };
+        let outcome = course::run(&mut chat).await;
         self.finish(outcome, state, &pieces).await;
     }
 
-    /// Asks for a runner; `None` when the caller went away meanwhile.
-    async fn seek(
-        &self,
-        state: &mut Progress,
-        pieces: &Pieces,
-        avoid: &[runner::Key],
-    ) -> Result<Option<Start>, Refusal> {
+    fn class(&self) -> Class {
+        Class {
+            class: self.route.class.clone(),
+        }
+    }
+
+    /// Asks for a runner.
+    async fn seek(&self, state: &mut Progress, pieces: &Pieces, avoid: &[runner::Key]) -> Result<Start, End> {
         let call = self.handle.call();
         let seek = Seek {
             call,
@@ -119,29 +173,29 @@
         let reply = self.handle.ask(call, Event::Seek(seek));
         tokio::select! {
             reply = reply => match reply {
-                Ok(Reply::Start(start)) => Ok(Some(start)),
-                Ok(Reply::Refused(refusal)) => Err(refusal),
+                Ok(Reply::Start(start)) => Ok(start),
+                Ok(Reply::Refused(refusal)) => Err(refusal.into()),
                 _ => Err(Kind::Stopping.into()),
             },
             () = state.caller_gone(pieces) => {
                 self.handle.tell(Event::Forget(call));
-                Ok(None)
+                Err(End::CallerGone)
             }
         }
     }
 
-    async fn attempt(&self, start: &Start, state: &mut Progress, pieces: &Pieces) -> Attempt {
+    async fn attempt(&self, start: &Start, state: &mut Progress, pieces: &Pieces) -> Result<(), End> {
         let before = state.usage.tokens;
         let began = Instant::now();
         let attempt = self.stream(start, state, pieces).await;
         let tokens = state.usage.tokens - before;
         let outcome = match &attempt {
-            Attempt::Whole => Outcome::Whole {
+            Ok(()) => Outcome::Whole {
                 tokens,
                 pace: began.elapsed().as_secs_f64() * 1_000.0 / f64::from(tokens.max(1)),
             },
-            Attempt::CallerGone => Outcome::Dropped { tokens },
-            Attempt::Failed(refusal) => match refusal.kind {
+            Err(End::CallerGone) => Outcome::Dropped { tokens },
+            Err(End::Refused(refusal)) => match refusal.kind {
                 Kind::KeyWithdrawn => Outcome::Dropped { tokens },
                 Kind::NoRunner => Outcome::Refused,
                 _ => Outcome::Broken { tokens },
@@ -155,7 +209,7 @@
         self.handle.tell(Event::Release { call, outcome });
     }
 
-    async fn stream(&self, start: &Start, state: &mut Progress, pieces: &Pieces) -> Attempt {
+    async fn stream(&self, start: &Start, state: &mut Progress, pieces: &Pieces) -> Result<(), End> {
         let outgoing = Outgoing {
             path: "/v1/chat/completions".into(),
             id: self.id.clone(),
@@ -164,31 +218,28 @@
         let now = self.handle.clock.now();
         let sent = tokio::select! {
             sent = upstream::send(&self.pool, now, start, &outgoing, false) => sent,
-            () = state.caller_gone(pieces) => return Attempt::CallerGone,
-        };
-        let (answer, kept) = match sent.map(Exchange::split) {
-            Ok(answer) => answer,
-            Err(Failure::NotSent) => return Attempt::Failed(Kind::NoRunner.into()),
-            Err(Failure::Broken) => return Attempt::Failed(Kind::UpstreamBroken.into()),
+            () = state.caller_gone(pieces) => return Err(End::CallerGone),
         };
+        let (answer, kept) = sent.map(Exchange::split).map_err(|failure| match failure {
+            Failure::NotSent => Kind::NoRunner,
+            Failure::Broken => Kind::UpstreamBroken,
+        })?;
         if leaves(&answer) {
             self.handle.tell(Event::Leaving(start.name.clone()));
         }
         if answer.status() != hyper::StatusCode::OK {
             let detail = format!("the runner answered {}", answer.status());
-            return Attempt::Failed(Refusal::new(Kind::UpstreamBroken).detail(detail));
+            return Err(Refusal::new(Kind::UpstreamBroken).detail(detail).into());
         }
         let mut body = answer.into_body();
-        let attempt = self.relay(start, &mut body, state, pieces).await;
-        if matches!(attempt, Attempt::Whole) {
-            self.keep(body, kept).await;
-        }
-        attempt
+        self.relay(start, &mut body, state, pieces).await?;
+        self.keep(body, kept).await;
+        Ok(())
     }
 
     /// Gives the connection back if nothing follows the stream's end.
     async fn keep(&self, mut body: Incoming, kept: Kept) {
-        if let Ok(None) = tokio::time::timeout(END, body.frame()).await {
+        if let Ok(None) = tokio::time::timeout(TAIL, body.frame()).await {
             kept.give(&self.pool, self.handle.clock.now());
         }
     }
@@ -199,39 +250,39 @@
         body: &mut Incoming,
         state: &mut Progress,
         pieces: &Pieces,
-    ) -> Attempt {
+    ) -> Result<(), End> {
         let mut splitter = Splitter::default();
         let mut finished = false;
         loop {
             let frame = tokio::select! {
                 frame = tokio::time::timeout(SILENCE, body.frame()) => frame,
-                () = state.caller_gone(pieces) => return Attempt::CallerGone,
+                () = state.caller_gone(pieces) => return Err(End::CallerGone),
             };
             let bytes = match frame {
-                Err(_) => return Attempt::Failed(Kind::UpstreamTimeout.into()),
+                Err(_) => return Err(Kind::UpstreamTimeout.into()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(_) => return Attempt::Failed(Kind::UpstreamBroken.into()),
+                Ok(_) => return Err(Kind::UpstreamBroken.into()),
             };
             if !splitter.push(&bytes) {
-                return Attempt::Failed(Kind::UpstreamBroken.into());
+                return Err(Kind::UpstreamBroken.into());
             }
             while let Some(event) = splitter.next_event() {
                 if &event[..] == b"[DONE]" {
                     return match finished {
-                        true => Attempt::Whole,
-                        false => Attempt::Failed(Kind::UpstreamBroken.into()),
+                        true => Ok(()),
+                        false => Err(Kind::UpstreamBroken.into()),
                     };
                 }
                 let Some(chunk) = self.chunk(&event) else {
-                    return Attempt::Failed(Kind::UpstreamCrossed.into());
+                    return Err(Kind::UpstreamCrossed.into());
                 };
                 finished |= chunk.finished;
                 if !self.handle.view.load().key_stands(&self.key) {
-                    return Attempt::Failed(Kind::KeyWithdrawn.into());
+                    return Err(Kind::KeyWithdrawn.into());
                 }
                 state.advance(self, start, &chunk);
                 if pieces.send(Piece::Event(event)).await.is_err() {
-                    return Attempt::CallerGone;
+                    return Err(End::CallerGone);
                 }
             }
         }
@@ -268,12 +319,12 @@
         body.to_string().into()
     }
 
-    async fn finish(&self, outcome: Attempt, mut state: Progress, pieces: &Pieces) {
-        let whole = matches!(outcome, Attempt::Whole);
+    async fn finish(&self, outcome: Result<(), End>, mut state: Progress, pieces: &Pieces) {
+        let whole = outcome.is_ok();
         let name = match &outcome {
-            Attempt::Whole => "ok",
-            Attempt::CallerGone => "caller-gone",
-            Attempt::Failed(refusal) => refusal.kind.name(),
+            Ok(()) => "ok",
+            Err(End::CallerGone) => "caller-gone",
+            Err(End::Refused(refusal)) => refusal.kind.name(),
         };
         self.handle.metrics.request(&self.route.class, name);
         if state.usage.tokens > 0 || whole {
@@ -295,11 +346,11 @@
             ms = self.began.elapsed().as_millis() as u64
         );
         match outcome {
-            Attempt::Whole => {
+            Ok(()) => {
                 let _ = pieces.send(Piece::End(state.usage)).await;
             }
-            Attempt::CallerGone => {}
-            Attempt::Failed(refusal) => match state.head.take() {
+            Err(End::CallerGone) => {}
+            Err(End::Refused(refusal)) => match state.head.take() {
                 Some(head) => {
                     let refusal = self.handle.sign(refusal, &self.customer, &self.route.class);
                     let _ = head.send(Err(refusal));
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -33,6 +33,7 @@
 pub mod forward;
 pub mod job;
 pub mod peers;
+pub mod plain;
 pub mod records;
 pub mod reply;
 pub mod run;
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -1,8 +1,10 @@
-//! Passing one request on to a runner, and on to another where that is allowed.
+//! Passing one request on to a runner.
 //!
 //! Once a byte of a request may have left, only the runner's own statement that
 //! it did not run allows a second runner or a refusal that says "not run".
 //! Everything else may have run: a reset, a closed connection, silence.
+//! Plain requests and streams go from runner to runner as [`plain`](super::plain)
+//! and [`stream`](super::stream) say.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,24 +15,23 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::fleet::{Key, Sign};
-use radishstair_core::gate::route::Mode;
+use radishstair_core::repeat::Fault;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
 use super::Shared;
 use super::dialect::{Mark, Pass};
 use super::job::{Job, Tries};
-use super::reply::{self, Body};
+use crate::upstream::course::Stop;
+use crate::upstream::line::Line;
 use crate::upstream::pool::{self, Pool};
 use crate::upstream::{self, Exchange, Failure, Kept};
 
 /// Most bytes of a plain answer, which is held until it is whole.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Runners tried without reaching one, before the caller is told so.
-const UNREACHABLE: u32 = 4;
 /// Longest time to read a refusal to its end, so that its connection serves on.
 const DRAIN: Duration = Duration::from_millis(50);
 
@@ -45,7 +46,6 @@
     address: SocketAddr,
     work: u64,
     held: u64,
-    among: u32,
 }
 
 impl Slot {
@@ -81,14 +81,8 @@
     pub body: Incoming,
 }
 
-enum Attempt {
-    Opened(Box<Opened>),
-    Unreachable,
-    NotRun,
-    Broken,
-    Late,
-    Refused(Refusal),
-}
+/// Why an attempt at a runner brought no answer.
+pub type Halt = Stop<Refusal>;
 
 /// Passes requests on.
 #[derive(Debug)]
@@ -100,166 +94,84 @@
 }
 
 impl Forwarder {
-    /// Has a plain request run and returns its whole answer.
+    /// A place at the best runner that was not tried yet.
     ///
     /// # Errors
     ///
     /// The refusal that the caller gets.
-    pub async fn plain(&self, job: &Job, tries: &mut Tries) -> Result<Response<Body>, Refusal> {
-        let mut failure = None;
-        loop {
-            let opened = match self.seek(job, None, tries).await {
-                Ok(opened) => opened,
-                Err(refusal) => return failure.ok_or(refusal),
-            };
-            let Some((parts, body)) = self.collect(job, opened).await else {
-                tries.ran = true;
-                if self.may_repeat(job, tries) {
-                    continue;
-                }
-                return failure.ok_or_else(|| self.failed(job));
-            };
-            let answer = reply::whole(&parts, body);
-            // A service's own failure of a repeatable request may pass at
-            // another runner: one in seven does on the users' look-ups.
-            if parts.status.is_server_error() && job.admission.route.mode == Mode::Repeatable {
-                tries.ran = true;
-                if self.may_repeat(job, tries) {
-                    failure = Some(answer);
-                    continue;
-                }
-            }
-            return Ok(answer);
-        }
-    }
-
-    /// Finds a runner that answers; `after` is the event from which a stream
-    /// goes on.
-    ///
-    /// # Errors
-    ///
-    /// The refusal that the caller gets.
-    pub async fn seek(&self, job: &Job, after: Option<u64>, tries: &mut Tries) -> Result<Opened, Refusal> {
-        loop {
-            let now = self.shared.now();
-            if job.is_over(now) {
-                return Err(self.over(job, tries));
-            }
-            let Some(slot) = self.pick(now, job, &tries.tried) else {
-                tries.among = 0;
-                return Err(self.refusal(job, tries, Kind::NoRunner));
-            };
-            let key = slot.key;
-            tries.tried.push(key);
-            tries.last = Some(slot.id.clone());
-            tries.among = slot.among;
-            match self.attempt(job, after, slot, tries).await {
-                Attempt::Opened(opened) => return Ok(*opened),
-                Attempt::Unreachable => {
-                    tries.unreachable += 1;
-                    if tries.unreachable >= UNREACHABLE {
-                        return Err(self.refusal(job, tries, Kind::NoRunner));
-                    }
-                }
-                Attempt::NotRun => {
-                    if !self.may_repeat(job, tries) {
-                        return Err(self.refusal(job, tries, Kind::Overloaded));
-                    }
-                }
-                Attempt::Broken => {
-                    tries.ran = true;
-                    if !self.may_repeat(job, tries) {
-                        return Err(self.failed(job));
-                    }
-                }
-                Attempt::Late => {
-                    return Err(self.over(job, tries));
-                }
-                Attempt::Refused(_) if tries.ran => return Err(self.failed(job)),
-                Attempt::Refused(refusal) => return Err(self.timed(job, refusal)),
-            }
-        }
-    }
-
-    /// Whether the request may be sent to one more runner.
-    ///
-    /// One that runs at most once and may have run must not; anything less
-    /// strict would post an entry twice.
-    pub fn may_repeat(&self, job: &Job, tries: &Tries) -> bool {
-        let reason = self.barred(job, tries);
-        if let Some(reason) = reason {
-            tracing::info!(
-                event = "not-repeated",
-                request = job.head.id,
-                reason,
-                sent = tries.sent,
-                ran = tries.ran
-            );
+    pub fn place(&self, job: &Job, tries: &mut Tries) -> Result<Slot, Refusal> {
+        let now = self.shared.now();
+        if job.is_over(now) {
+            return Err(self.over(job, tries));
         }
-        reason.is_none()
+        let Some((slot, among)) = self.pick(now, job, tries.runs.tried()) else {
+            tries.among = 0;
+            return Err(self.refusal(job, tries, Kind::NoRunner));
+        };
+        tries.runs.choose(slot.key);
+        tries.last = Some(slot.id.clone());
+        tries.among = among;
+        Ok(slot)
     }
 
-    /// Why the request may not be sent once more.
-    fn barred(&self, job: &Job, tries: &Tries) -> Option<&'static str> {
+    /// Takes note of a failed attempt; the refusal, if no other may follow.
+    pub fn fail(&self, job: &Job, tries: &mut Tries, fault: Fault) -> Option<Refusal> {
         let now = self.shared.now();
-        if tries.ran && job.once() {
-            return Some("may-have-run");
-        }
-        if job.is_over(now) {
-            return Some("time-over");
-        }
-        if tries.sent >= job.admission.route.attempts {
-            return Some("attempts-spent");
-        }
-        let left = self.shared.state().may_repeat(now, &job.admission.service);
-        (!left).then_some("budget-spent")
+        let budget = || self.shared.state().may_repeat(now, &job.admission.service);
+        let bar = tries.runs.fail(&job.rule(), fault, job.is_over(now), budget)?;
+        tracing::info!(
+            event = "not-repeated",
+            request = job.head.id,
+            reason = bar.name(),
+            sent = tries.runs.sent(),
+            ran = tries.runs.ran()
+        );
+        Some(match fault {
+            Fault::Unreachable => self.refusal(job, tries, Kind::NoRunner),
+            Fault::NotRun => self.refusal(job, tries, Kind::Overloaded),
+            Fault::Broken => self.failed(job),
+        })
     }
 
-    fn pick(&self, now: Moment, job: &Job, tried: &[Key]) -> Option<Slot> {
+    /// A place, and the number of runners that its runner was chosen among.
+    fn pick(&self, now: Moment, job: &Job, tried: &[Key]) -> Option<(Slot, u32)> {
         let demand = job.demand(rand::random());
         let mut state = self.shared.state();
         let choice = state.place(now, &demand, tried)?;
         let listed = &state.fleet.get(choice.key)?.listed;
         let (id, address) = (listed.id.clone(), listed.address);
         drop(state);
-        Some(Slot {
+        let slot = Slot {
             shared: self.shared.clone(),
             key: choice.key,
             id,
             address,
             work: choice.work,
             held: demand.held(),
-            among: choice.among,
-        })
+        };
+        Some((slot, choice.among))
     }
 
-    async fn attempt(&self, job: &Job, after: Option<u64>, slot: Slot, tries: &mut Tries) -> Attempt {
-        let now = self.shared.now();
-        let limit = job.left(now).unwrap_or(pool::CONNECT);
-        let taken = self.pool.take(now, slot.address, job.once(), limit).await;
-        let line = match taken {
-            Ok(taken) => taken,
-            Err(err) => {
-                tracing::info!(event = "runner-unreachable", request = job.head.id, runner = slot.id, reason = %format!("{err:#}"));
-                slot.sign(Sign::Unreachable);
-                return Attempt::Unreachable;
-            }
-        };
+    /// Sends a request to a runner, up to the head of its answer; `after` is the event
+    /// from which a stream goes on.
+    ///
+    /// # Errors
+    ///
+    /// Whether another runner may follow, or the refusal that the caller gets.
+    pub async fn open(
+        &self,
+        job: &Job,
+        after: Option<u64>,
+        slot: Slot,
+        tries: &mut Tries,
+    ) -> Result<Opened, Halt> {
+        let line = self.connect(job, &slot).await?;
         // The last look before the bytes leave: connecting may have taken long,
         // the process may have been frozen, the runner may have begun to leave.
         let now = self.shared.now();
-        if job.is_over(now) {
-            return Attempt::Late;
-        }
-        let allowed = self.shared.state().may_send(now, &job.admission, &job.ask());
-        if let Err(refusal) = allowed {
-            return Attempt::Refused(refusal);
-        }
-        if !self.is_listed(&slot) {
-            return Attempt::Unreachable;
-        }
+        self.look(now, job, &slot, tries)?;
         let request = self.request(now, job, after, &slot);
-        tries.sent += 1;
+        tries.runs.send();
         let exchange = upstream::exchange(line, slot.address, request);
         let sent = match job.left(now) {
             Some(left) => timeout(left, exchange).await,
@@ -268,8 +180,8 @@
         match sent {
             Ok(Ok(exchange)) => self.judge(job, slot, exchange).await,
             Ok(Err(Failure::NotSent)) => {
-                tries.sent -= 1;
-                Attempt::Unreachable
+                tries.runs.unsend();
+                Err(Halt::Failed(Fault::Unreachable))
             }
             Ok(Err(Failure::Broken)) => {
                 slot.sign(Sign::Broken);
@@ -278,18 +190,47 @@
                     request = job.head.id,
                     runner = slot.id
                 );
-                Attempt::Broken
+                Err(Halt::Failed(Fault::Broken))
             }
             Err(_) => {
                 slot.sign(Sign::Broken);
-                tries.ran = true;
-                Attempt::Late
+                tries.runs.run_out();
+                Err(Halt::Over(self.over(job, tries)))
             }
         }
     }
 
+    async fn connect(&self, job: &Job, slot: &Slot) -> Result<Line, Halt> {
+        let now = self.shared.now();
+        let limit = job.left(now).unwrap_or(pool::CONNECT);
+        let taken = self.pool.take(now, slot.address, job.once(), limit).await;
+        taken.map_err(|err| {
+            tracing::info!(event = "runner-unreachable", request = job.head.id, runner = slot.id, reason = %format!("{err:#}"));
+            slot.sign(Sign::Unreachable);
+            Halt::Failed(Fault::Unreachable)
+        })
+    }
+
+    /// Whether the request may still leave for this runner.
+    fn look(&self, now: Moment, job: &Job, slot: &Slot, tries: &Tries) -> Result<(), Halt> {
+        if job.is_over(now) {
+            return Err(Halt::Over(self.over(job, tries)));
+        }
+        let allowed = self.shared.state().may_send(now, &job.admission, &job.ask());
+        if let Err(refusal) = allowed {
+            return Err(Halt::Over(match tries.runs.ran() {
+                true => self.failed(job),
+                false => self.timed(job, refusal),
+            }));
+        }
+        match self.is_listed(slot) {
+            true => Ok(()),
+            false => Err(Halt::Failed(Fault::Unreachable)),
+        }
+    }
+
     /// Sorts an answer by its head.
-    async fn judge(&self, job: &Job, slot: Slot, exchange: Exchange) -> Attempt {
+    async fn judge(&self, job: &Job, slot: Slot, exchange: Exchange) -> Result<Opened, Halt> {
         let (response, kept) = exchange.split();
         let (parts, body) = response.into_parts();
         let mark = self.shared.dialect.mark(&parts);
@@ -309,7 +250,7 @@
             if matches!(drained, Ok(Ok(_))) {
                 self.give(&slot, kept);
             }
-            return Attempt::NotRun;
+            return Err(Halt::Failed(Fault::NotRun));
         }
         if !is_own(job, &parts, &mark) {
             slot.sign(Sign::Broken);
@@ -321,14 +262,14 @@
                 answers = mark.id,
                 signed = mark.signed
             );
-            return Attempt::Broken;
+            return Err(Halt::Failed(Fault::Broken));
         }
-        Attempt::Opened(Box::new(Opened {
+        Ok(Opened {
             slot,
             kept,
             parts,
             body,
-        }))
+        })
     }
 
     /// Reads a plain answer to its end; `None` if it broke off.
@@ -394,7 +335,7 @@
 
     /// The time is over.
     fn over(&self, job: &Job, tries: &Tries) -> Refusal {
-        match tries.ran {
+        match tries.runs.ran() {
             true => Refusal::new(Kind::UpstreamTimeout),
             false => self.refusal(job, tries, Kind::Late),
         }
@@ -409,7 +350,7 @@
 
     /// A refusal that says "not run" if that is so.
     fn refusal(&self, job: &Job, tries: &Tries, kind: Kind) -> Refusal {
-        if tries.ran {
+        if tries.runs.ran() {
             return self.failed(job);
         }
         self.timed(job, Refusal::new(kind))
--- a/crates/entry/src/gate/job.rs
+++ b/crates/entry/src/gate/job.rs
@@ -9,10 +9,14 @@
 use radishstair_core::gate::place::Demand;
 use radishstair_core::gate::route::Mode;
 use radishstair_core::gate::{Admission, Ask};
+use radishstair_core::repeat::{self, Rule};
 use radishstair_core::time::Moment;
 
 use super::dialect::Head;
 
+/// Runners tried without reaching one, before the caller is told so.
+const UNREACHABLE: u32 = 4;
+
 /// A caller's request, read whole and admitted.
 #[derive(Debug)]
 pub struct Job {
@@ -51,6 +55,15 @@
         matches!(self.admission.route.mode, Mode::Stream { .. })
     }
 
+    /// How often it may be sent.
+    pub fn rule(&self) -> Rule {
+        Rule {
+            once: self.once(),
+            attempts: self.admission.route.attempts,
+            unreachable: UNREACHABLE,
+        }
+    }
+
     /// What was asked, for a second look at the document.
     pub fn ask(&self) -> Ask<'_> {
         ask(&self.parts, &self.head)
@@ -80,19 +93,13 @@
     }
 }
 
-/// What one request has tried.
+/// What one request has tried, and what the log tells of it.
 #[derive(Clone, Debug, Default)]
 pub struct Tries {
-    /// Runners that were chosen for it.
-    pub tried: Vec<Key>,
-    /// Runners that it was sent to.
-    pub sent: u32,
-    /// Id of the runner that was chosen last, for the log.
+    /// Runners, and whether it may have run.
+    pub runs: repeat::Tries<Key>,
+    /// Id of the runner that was chosen last.
     pub last: Option<String>,
-    /// Runners that this one was chosen among, for the log.
+    /// Runners that this one was chosen among.
     pub among: u32,
-    /// Runners that could not be reached.
-    pub unreachable: u32,
-    /// Whether it may have run.
-    pub ran: bool,
 }
--- /dev/null
+++ b/crates/entry/src/gate/plain.rs
@@ -0,0 +1,65 @@
+//! Plain requests: an answer is held until it is whole.
+
+use hyper::Response;
+use radishstair_core::error::Refusal;
+use radishstair_core::gate::route::Mode;
+use radishstair_core::repeat::Fault;
+
+use super::forward::{Forwarder, Halt, Slot};
+use super::job::{Job, Tries};
+use super::reply::{self, Body};
+use crate::upstream::course::{self, Course};
+
+struct Plain<'a> {
+    forwarder: &'a Forwarder,
+    job: &'a Job,
+    tries: &'a mut Tries,
+    /// A runner's own failure, passed on if no other runner does better.
+    failure: Option<Response<Body>>,
+}
+
+impl Course for Plain<'_> {
+    type Place = Slot;
+    type Answer = Response<Body>;
+    type End = Refusal;
+
+    async fn place(&mut self) -> Result<Slot, Refusal> {
+        self.forwarder.place(self.job, self.tries)
+    }
+
+    async fn attempt(&mut self, slot: Slot) -> Result<Response<Body>, Halt> {
+        let opened = self.forwarder.open(self.job, None, slot, self.tries).await?;
+        let collected = self.forwarder.collect(self.job, opened).await;
+        let (parts, body) = collected.ok_or(Halt::Failed(Fault::Broken))?;
+        let answer = reply::whole(&parts, body);
+        // A service's own failure of a repeatable request may pass at another runner:
+        // one in seven does on the users' look-ups.
+        if parts.status.is_server_error() && self.job.admission.route.mode == Mode::Repeatable {
+            self.failure = Some(answer);
+            return Err(Halt::Failed(Fault::Broken));
+        }
+        Ok(answer)
+    }
+
+    fn fail(&mut self, fault: Fault) -> Option<Refusal> {
+        self.forwarder.fail(self.job, self.tries, fault)
+    }
+}
+
+impl Forwarder {
+    /// Has a plain request run and returns its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets.
+    pub async fn plain(&self, job: &Job, tries: &mut Tries) -> Result<Response<Body>, Refusal> {
+        let mut plain = Plain {
+            forwarder: self,
+            job,
+            tries,
+            failure: None,
+        };
+        let result = course::run(&mut plain).await;
+        result.or_else(|refusal| plain.failure.take().ok_or(refusal))
+    }
+}
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -5,98 +5,26 @@
 //! dropping its connection, so that two runners never work on one stream.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_stream::stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
 use radishstair_core::error::{Kind, Refusal};
-use radishstair_core::gate::fleet::Sign;
-use tokio::time::timeout;
+use radishstair_core::repeat::Fault;
 
-use super::events::{Cutter, Events};
-use super::forward::{Forwarder, Opened};
+use super::events::Events;
+use super::forward::{Forwarder, Halt, Slot};
 use super::job::{Job, Tries};
 use super::reply::{self, Body, Cut};
 use crate::flight::Flight;
+use crate::upstream::course::{self, Course};
 
-/// A runner's part in a stream.
-struct Run {
-    opened: Opened,
-    cutter: Cutter,
-    last: Option<u64>,
-    framed: bool,
-}
-
-enum Piece {
-    Events(Events),
-    End,
-    Broken,
-}
-
-impl Run {
-    fn new(opened: Opened, last: Option<u64>) -> Self {
-        let headers = &opened.parts.headers;
-        let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key("transfer-encoding");
-        Self {
-            opened,
-            cutter: Cutter::default(),
-            last,
-            framed,
-        }
-    }
+mod run;
 
-    /// The next whole events.
-    async fn next(&mut self) -> Piece {
-        loop {
-            let Some(frame) = self.opened.body.frame().await else {
-                return self.end();
-            };
-            let Ok(frame) = frame else {
-                return Piece::Broken;
-            };
-            let Some(bytes) = frame.data_ref() else {
-                continue;
-            };
-            let Some(events) = self.cutter.push(bytes) else {
-                return Piece::Broken;
-            };
-            if events.bytes.is_empty() {
-                continue;
-            }
-            if !self.follows(&events.ids) {
-                return Piece::Broken;
-            }
-            return Piece::Events(events);
-        }
-    }
-
-    /// Without a length or chunks only a whole event tells the end from a break.
-    fn end(&self) -> Piece {
-        match self.cutter.is_empty() {
-            true => Piece::End,
-            false => Piece::Broken,
-        }
-    }
-
-    /// Whether events follow the last one without a gap.
-    ///
-    /// A runner that goes on elsewhere than asked would give the caller a piece
-    /// twice or leave one out.
-    fn follows(&mut self, ids: &[u64]) -> bool {
-        for id in ids {
-            if self.last.is_some_and(|last| *id != last + 1) {
-                return false;
-            }
-            self.last = Some(*id);
-        }
-        true
-    }
-}
+use run::{Piece, Run};
 
 /// Tells how a stream ended, also when its caller left.
 struct Trail {
@@ -126,6 +54,93 @@
     }
 }
 
+/// What a stream begins with.
+enum Begun {
+    /// Its first events.
+    Stream(Box<Run>, Events),
+    /// A runner's failure, whole.
+    Failure(Response<Body>),
+}
+
+/// A stream that waits for its first event.
+struct Begin<'a> {
+    forwarder: &'a Forwarder,
+    job: &'a Job,
+    tries: &'a mut Tries,
+    /// A runner's own failure, passed on if no other runner does better.
+    failure: Option<Response<Body>>,
+}
+
+impl Course for Begin<'_> {
+    type Place = Slot;
+    type Answer = Begun;
+    type End = Refusal;
+
+    async fn place(&mut self) -> Result<Slot, Refusal> {
+        self.forwarder.place(self.job, self.tries)
+    }
+
+    async fn attempt(&mut self, slot: Slot) -> Result<Begun, Halt> {
+        let opened = self.forwarder.open(self.job, None, slot, self.tries).await?;
+        if !opened.parts.status.is_success() {
+            let collected = self.forwarder.collect(self.job, opened).await;
+            let (parts, body) = collected.ok_or(Halt::Failed(Fault::Broken))?;
+            let answer = reply::whole(&parts, body);
+            if !parts.status.is_server_error() {
+                return Ok(Begun::Failure(answer));
+            }
+            // A runner's own failure may pass at another runner.
+            self.failure = Some(answer);
+            return Err(Halt::Failed(Fault::Broken));
+        }
+        let mut run = Run::new(opened, None);
+        match run.next(self.job, self.forwarder.shared.now()).await {
+            Piece::Events(events) => Ok(Begun::Stream(Box::new(run), events)),
+            Piece::End => Ok(Begun::Stream(Box::new(run), Events::default())),
+            Piece::Broken => {
+                run.abandon(self.job);
+                Err(Halt::Failed(Fault::Broken))
+            }
+            Piece::Over => Err(Halt::Over(Kind::UpstreamTimeout.into())),
+        }
+    }
+
+    fn fail(&mut self, fault: Fault) -> Option<Refusal> {
+        self.forwarder.fail(self.job, self.tries, fault)
+    }
+}
+
+/// A stream that goes on after the event `last`.
+struct Resume<'a> {
+    forwarder: &'a Forwarder,
+    job: &'a Job,
+    tries: &'a mut Tries,
+    last: u64,
+}
+
+impl Course for Resume<'_> {
+    type Place = Slot;
+    type Answer = Run;
+    type End = Refusal;
+
+    async fn place(&mut self) -> Result<Slot, Refusal> {
+        self.forwarder.place(self.job, self.tries)
+    }
+
+    async fn attempt(&mut self, slot: Slot) -> Result<Run, Halt> {
+        let after = Some(self.last);
+        let opened = self.forwarder.open(self.job, after, slot, self.tries).await?;
+        match opened.parts.status.is_success() {
+            true => Ok(Run::new(opened, after)),
+            false => Err(Halt::Failed(Fault::Broken)),
+        }
+    }
+
+    fn fail(&mut self, fault: Fault) -> Option<Refusal> {
+        self.forwarder.fail(self.job, self.tries, fault)
+    }
+}
+
 impl Forwarder {
     /// Has a stream run; the answer's body goes on as long as the runner does.
     ///
@@ -138,56 +153,32 @@
         tries: &mut Tries,
         flight: Flight,
     ) -> Result<Response<Body>, Refusal> {
-        let mut failure = None;
-        loop {
-            let opened = match self.seek(&job, None, tries).await {
-                Ok(opened) => opened,
-                Err(refusal) => return failure.ok_or(refusal),
-            };
-            if !opened.parts.status.is_success() {
-                let answer = self.failure(&job, opened).await?;
-                tries.ran = true;
-                // A runner's own failure may pass at another runner.
-                if answer.status().is_server_error() && self.may_repeat(&job, tries) {
-                    failure = Some(answer);
-                    continue;
-                }
-                return Ok(answer);
-            }
-            let mut run = Run::new(opened, None);
-            let piece = self.next(&job, &mut run).await;
-            let events = match piece {
-                Some(Piece::Events(events)) => events,
-                Some(Piece::End) => Events::default(),
-                Some(Piece::Broken) => {
-                    tries.ran = true;
-                    run.opened.slot.sign(Sign::Broken);
-                    tracing::info!(
-                        event = "stream-broken",
-                        request = job.head.id,
-                        runner = run.opened.slot.id,
-                        events = 0
-                    );
-                    drop(run);
-                    if self.may_repeat(&job, tries) {
-                        continue;
-                    }
-                    return Err(Refusal::new(Kind::UpstreamBroken));
-                }
-                None => return Err(Refusal::new(Kind::UpstreamTimeout)),
-            };
-            self.started(&job, &mut run);
-            let parts = run.opened.parts.clone();
-            let trail = Trail {
-                forwarder: self.clone(),
-                job,
-                runs: 1,
-                events: 0,
-                outcome: "left",
-                _flight: flight,
-            };
-            return Ok(answer(&parts, self.body(trail, run, events, tries.clone())));
-        }
+        let mut begin = Begin {
+            forwarder: &self,
+            job: &job,
+            tries,
+            failure: None,
+        };
+        let begun = match course::run(&mut begin).await {
+            Ok(begun) => begun,
+            Err(refusal) => return begin.failure.ok_or(refusal),
+        };
+        let (mut run, events) = match begun {
+            Begun::Stream(run, events) => (*run, events),
+            Begun::Failure(answer) => return Ok(answer),
+        };
+        self.started(&job, &mut run);
+        let parts = run.opened.parts.clone();
+        let trail = Trail {
+            forwarder: self.clone(),
+            job,
+            runs: 1,
+            events: 0,
+            outcome: "left",
+            _flight: flight,
+        };
+        let tries = tries.clone();
+        Ok(answer(&parts, self.body(trail, run, events, tries)))
     }
 
     fn started(&self, job: &Job, run: &mut Run) {
@@ -197,30 +188,6 @@
         self.shared.metrics.first_after(&job.admission.route.name, waited);
     }
 
-    /// A runner's failure, passed on whole.
-    async fn failure(&self, job: &Job, opened: Opened) -> Result<Response<Body>, Refusal> {
-        match self.collect(job, opened).await {
-            Some((parts, body)) => Ok(reply::whole(&parts, body)),
-            None => Err(Refusal::new(Kind::UpstreamBroken)),
-        }
-    }
-
-    /// The next piece, or `None` when the caller's time is over.
-    ///
-    /// A resumable stream whose runner falls silent counts as broken, to go on
-    /// elsewhere: a runner behind a cut sends no reset, and probes take seconds
-    /// to show it. A silence after which another runner would not help, or that
-    /// no other may end, is waited out.
-    async fn next(&self, job: &Job, run: &mut Run) -> Option<Piece> {
-        let left = job.left(self.shared.now()).unwrap_or(FOREVER);
-        let patience = patience(job, run).unwrap_or(FOREVER);
-        match timeout(left.min(patience), run.next()).await {
-            Ok(piece) => Some(piece),
-            Err(_) if patience < left => Some(Piece::Broken),
-            Err(_) => None,
-        }
-    }
-
     fn body(self: Arc<Self>, trail: Trail, run: Run, first: Events, mut tries: Tries) -> Body {
         let pieces = stream! {
             // Whole, so that it is dropped (and logged) with the stream.
@@ -232,27 +199,18 @@
                 yield Ok(Frame::data(first.bytes));
             }
             loop {
-                match self.next(&job, &mut run).await {
-                    Some(Piece::Events(events)) => {
+                match run.next(&job, self.shared.now()).await {
+                    Piece::Events(events) => {
                         trail.events += events.ids.len();
                         yield Ok(Frame::data(events.bytes));
                     }
-                    Some(Piece::End) => {
+                    Piece::End => {
                         trail.outcome = "ok";
-                        self.finish(run);
+                        run.finish(&self);
                         return;
                     }
-                    Some(Piece::Broken) => {
-                        run.opened.slot.sign(Sign::Broken);
-                        tracing::info!(
-                            event = "stream-broken",
-                            request = job.head.id,
-                            runner = run.opened.slot.id,
-                            last = run.last
-                        );
-                        let last = run.last;
-                        drop(run);
-                        tries.ran = true;
+                    Piece::Broken => {
+                        let last = run.abandon(&job);
                         match self.resume(&job, last, &mut tries).await {
                             Some(next) => run = next,
                             None => {
@@ -263,7 +221,7 @@
                         }
                         trail.runs += 1;
                     }
-                    None => {
+                    Piece::Over => {
                         trail.outcome = "over";
                         yield Err(Cut);
                         return;
@@ -274,49 +232,28 @@
         BodyExt::boxed_unsync(StreamBody::new(pieces))
     }
 
-    /// Another runner that goes on after `last`.
+    /// Another runner that goes on after `last`; none if the stream may not go on.
     async fn resume(&self, job: &Job, last: Option<u64>, tries: &mut Tries) -> Option<Run> {
         let last = last?;
-        if !self.may_repeat(job, tries) {
-            return None;
-        }
-        let opened = self.seek(job, Some(last), tries).await.ok()?;
-        if !opened.parts.status.is_success() {
+        if self.fail(job, tries, Fault::Broken).is_some() {
             return None;
         }
+        let mut resume = Resume {
+            forwarder: self,
+            job,
+            tries,
+            last,
+        };
+        let mut run = course::run(&mut resume).await.ok()?;
         tracing::info!(
             event = "stream-resumed",
             request = job.head.id,
-            runner = opened.slot.id,
+            runner = run.opened.slot.id,
             last
         );
-        let mut run = Run::new(opened, Some(last));
         run.opened.slot.read();
         Some(run)
     }
-
-    fn finish(&self, run: Run) {
-        let Opened { slot, kept, .. } = run.opened;
-        slot.sign(Sign::Sound);
-        if run.framed {
-            self.give(&slot, kept);
-        }
-    }
-}
-
-/// Shortest silence that ends a resumable stream's run: an engine under load
-/// pauses for most of a second.
-const SILENCE: Duration = Duration::from_millis(1_500);
-/// The same in pauses that the operator allows.
-const SILENCE_GAPS: u32 = 2;
-/// No limit.
-const FOREVER: Duration = Duration::from_secs(24 * 3_600);
-
-/// Longest silence of a run that another one could follow.
-fn patience(job: &Job, run: &Run) -> Option<Duration> {
-    run.last.filter(|_| !job.once())?;
-    let gap = job.admission.route.gap?;
-    Some((gap * SILENCE_GAPS).max(SILENCE))
 }
 
 fn answer(parts: &response::Parts, body: Body) -> Response<Body> {
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -15,9 +15,11 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, Response};
 use radishstair_core::dispatch::Start;
+use radishstair_core::repeat::Fault;
 use radishstair_core::time::Moment;
 use radishstair_wire::http;
 
+pub mod course;
 pub mod line;
 pub mod pool;
 
@@ -36,6 +38,15 @@
     Broken,
 }
 
+impl From<Failure> for Fault {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::NotSent => Fault::Unreachable,
+            Failure::Broken => Fault::Broken,
+        }
+    }
+}
+
 /// What goes to a runner.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
--- /dev/null
+++ b/crates/entry/src/upstream/course.rs
@@ -0,0 +1,57 @@
+//! A request's way over runners, one after the other, until one of them answers.
+//!
+//! Both fronts send through [`run`]. What differs between them (how a runner is found,
+//! what is sent, what counts as an answer) is a [`Course`]; whether one more runner may
+//! follow is decided in [`radishstair_core::repeat`].
+
+use radishstair_core::repeat::Fault;
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Debug)]
+pub enum Stop<E> {
+    /// It failed at this runner; another one may follow.
+    Failed(Fault),
+    /// The request is over.
+    Over(E),
+}
+
+/// One request on its way.
+pub trait Course {
+    /// A place at a runner; dropping it gives it back.
+    type Place: Send;
+    /// What the caller gets.
+    type Answer: Send;
+    /// What the caller gets instead.
+    type End: Send;
+
+    /// A place at a runner that was not tried yet.
+    fn place(&mut self) -> impl Future<Output = Result<Self::Place, Self::End>> + Send;
+
+    /// One attempt there.
+    fn attempt(
+        &mut self,
+        place: Self::Place,
+    ) -> impl Future<Output = Result<Self::Answer, Stop<Self::End>>> + Send;
+
+    /// Takes note of a failed attempt; how the request ends, if no other may follow.
+    fn fail(&mut self, fault: Fault) -> Option<Self::End>;
+}
+
+/// Tries runners until one answers or no other may follow.
+///
+/// # Errors
+///
+/// What the caller gets instead of an answer.
+pub async fn run<C: Course>(course: &mut C) -> Result<C::Answer, C::End> {
+    loop {
+        let place = course.place().await?;
+        let fault = match course.attempt(place).await {
+            Ok(answer) => return Ok(answer),
+            Err(Stop::Over(end)) => return Err(end),
+            Err(Stop::Failed(fault)) => fault,
+        };
+        if let Some(end) = course.fail(fault) {
+            return Err(end);
+        }
+    }
+}
--- a/tests/suite/live.rs
+++ b/tests/suite/live.rs
@@ -181,6 +181,19 @@
     assert!(!answer.kind().is_empty(), "{answer:?}");
 }
 
+/// Every engine answers for another request. Both are tried, and no third one is there:
+/// the caller must not be told that its request has not run, as both engines ran it.
+#[test]
+fn a_refusal_after_a_run_does_not_say_not_run() {
+    let site = site().start();
+    site.fault(&site.addresses.engines, &json!({ "cross": 100 }));
+    let answer = site
+        .caller()
+        .chat(site.entry(0), "chat", &site.chat("lost twice", 10));
+    assert_ne!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.ran(), "unknown", "{answer:?}");
+}
+
 /// A confused runner answers under another request's id. The caller gets its
 /// own answer from another runner, or a refusal, never the stranger's.
 #[test]
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -18,5 +18,6 @@
 mod parse;
 mod policy;
 mod process;
+mod repeat;
 mod schedule;
 mod usage;
--- /dev/null
+++ b/tests/suite/repeat.rs
@@ -0,0 +1,110 @@
+//! Whether a request may go to one more runner, decided without sockets.
+
+use quickcheck::{TestResult, quickcheck};
+use radishstair_core::error::{Kind, Ran, Refusal};
+use radishstair_core::repeat::{Bar, Fault, Rule, Tries};
+
+const POSTING: Rule = Rule {
+    once: true,
+    attempts: 3,
+    unreachable: 4,
+};
+const LOOK_UP: Rule = Rule {
+    once: false,
+    ..POSTING
+};
+
+/// A posting stands in the ledger twice. Its runner broke off, so that it may have run,
+/// and another runner got it: never, whatever budget is left.
+#[test]
+fn what_may_have_run_once_is_not_sent_again() {
+    let mut tries = Tries::<u32>::default();
+    tries.send();
+    let untouched = || panic!("the budget is asked for nothing");
+    assert_eq!(
+        tries.fail(&POSTING, Fault::Broken, false, untouched),
+        Some(Bar::MayHaveRun)
+    );
+}
+
+/// A caller is told "not run" by a runner that is full and gets an answer from the next
+/// one; what was refused by as many runners as the route allows ends there.
+#[test]
+fn what_has_not_run_goes_on_up_to_the_attempts() {
+    let mut tries = Tries::<u32>::default();
+    let mut ends = Vec::new();
+    for _ in 0..3 {
+        tries.send();
+        ends.push(tries.fail(&POSTING, Fault::NotRun, false, || true));
+    }
+    assert_eq!(ends, [None, None, Some(Bar::AttemptsSpent)]);
+    assert!(!tries.ran());
+}
+
+/// A zone is cut off, and the shared budget of repeats is spent on requests that never
+/// left this host. A runner that cannot be reached costs neither budget nor attempt, and
+/// four of them in a row end the search.
+#[test]
+fn unreachable_runners_spend_nothing() {
+    let mut tries = Tries::<u32>::default();
+    let untouched = || panic!("nothing was sent");
+    for _ in 0..3 {
+        assert_eq!(tries.fail(&LOOK_UP, Fault::Unreachable, true, untouched), None);
+    }
+    assert_eq!(
+        tries.fail(&LOOK_UP, Fault::Unreachable, true, untouched),
+        Some(Bar::Unreachable)
+    );
+    assert_eq!((tries.sent(), tries.ran()), (0, false));
+}
+
+/// A look-up is sent on after its caller's time, or without budget: a retry storm.
+#[test]
+fn repeats_need_time_and_budget() {
+    let mut tries = Tries::<u32>::default();
+    tries.send();
+    let fail =
+        |tries: &mut Tries<u32>, over, budget: bool| tries.fail(&LOOK_UP, Fault::Broken, over, || budget);
+    assert_eq!(fail(&mut tries, true, true), Some(Bar::TimeOver));
+    assert_eq!(fail(&mut tries, false, false), Some(Bar::BudgetSpent));
+    assert_eq!(fail(&mut tries, false, true), None);
+}
+
+/// A caller is told "not run" and posts again, while its first posting stands. Its first
+/// runner broke off, and no second one is to be had: the refusal must leave it open.
+#[test]
+fn a_refusal_after_a_run_leaves_it_open() {
+    let mut tries = Tries::<u32>::default();
+    let none = || Refusal::new(Kind::NoRunner);
+    assert_eq!(tries.refuse(none()).ran, Ran::NotRun);
+    tries.send();
+    tries.fail(&LOOK_UP, Fault::Broken, false, || true);
+    assert_eq!(tries.refuse(none()).ran, Ran::Unknown);
+}
+
+quickcheck! {
+    /// Whatever happens in whatever order: a request that runs at most once is not sent
+    /// again after it may have run, and none is sent more often than allowed.
+    fn no_order_of_faults_breaks_a_rule(faults: Vec<u8>, once: bool, attempts: u8) -> TestResult {
+        let rule = Rule { once, attempts: u32::from(attempts % 4) + 1, unreachable: 4 };
+        let mut tries = Tries::<usize>::default();
+        for (at, fault) in faults.iter().enumerate() {
+            if (once && tries.ran()) || tries.sent() >= rule.attempts {
+                return TestResult::failed();
+            }
+            tries.choose(at);
+            let fault = match fault % 3 {
+                0 => Fault::Unreachable,
+                1 => Fault::NotRun,
+                _ => Fault::Broken,
+            };
+            if fault != Fault::Unreachable {
+                tries.send();
+            }
+            if tries.fail(&rule, fault, false, || true).is_some() {
+                break;
+            }
+        }
+        TestResult::passed()
+    }
+}
