Both reporters write figures by one machine, both planners keep one list of targets

Cause: usage reports and orders stood twice, as machines beside each other: write once, adopt what stands, read a lost write back (usage/report and gate/report); numbers wanted and accepted, with pauses and restatements (order and gate/supply).

Change: core::seal::Writer is that write, core::target::Targets that list; each reporter and planner keeps what is its own (chain of cursors or windows by runs; intents in the store or peaks of the flow). An order's answer finds its target by what it is for, not by a place that a new target may have shifted in between. A refused write of a window is tried again after the pause instead of being read back, as nothing was done.

--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -10,6 +10,7 @@
 
 use super::tally::{Ledger, Window};
 use crate::lease::Grant;
+use crate::seal::{Outcome, Writer};
 use crate::store::{Answer, Call, Entry};
 use crate::time::Moment;
 
@@ -43,8 +44,6 @@
 plain! {
     enum State {
         Idle,
-        Sealing { since: Moment, window: Window },
-        Reading { since: Moment, number: u64 },
         Reporting { since: Moment, number: u64 },
         Removing { since: Moment },
     }
@@ -72,6 +71,7 @@
 #[derive(Debug)]
 pub struct Reporter {
     state: State,
+    writer: Writer<Window>,
     sealed: Vec<Sealed>,
     reported: Vec<u64>,
     next: Moment,
@@ -81,6 +81,7 @@
     fn default() -> Self {
         Self {
             state: State::Idle,
+            writer: Writer::default(),
             sealed: Vec::new(),
             reported: Vec::new(),
             next: Moment::default(),
@@ -116,7 +117,7 @@
         ledger: &Ledger,
     ) -> Option<Step> {
         self.give_up(now);
-        if self.state != State::Idle || !now.reached(self.next) {
+        if self.state != State::Idle || self.writer.is_busy() || !now.reached(self.next) {
             return None;
         }
         let length_ms = plan.length_s * 1_000;
@@ -137,7 +138,8 @@
                 continue;
             }
             if let Some(window) = sum(now, ledger, number) {
-                return self.seal(now, window);
+                let call = self.writer.write(now, key(number), window);
+                return call.map(Step::Store);
             }
         }
         self.remove_old(now, present)
@@ -145,20 +147,12 @@
 
     /// The store's answer.
     pub fn answer(&mut self, now: Moment, answer: &Answer) -> Option<Step> {
-        match (std::mem::replace(&mut self.state, State::Idle), answer) {
-            (State::Sealing { window, .. }, Answer::Written(version)) => self.keep(window, *version),
-            (State::Sealing { .. }, Answer::Conflict(entry)) => match parse(entry) {
-                Some(window) => self.keep(window, entry.version),
-                None => self.next = now + PAUSE,
-            },
-            // The write may stand. What is reported must be what stands.
-            (State::Sealing { window, .. }, _) => {
-                let number = window.number;
-                self.state = State::Reading { since: now, number };
-                return Some(Step::Store(Call::Get { key: key(number) }));
-            }
-            (State::Reading { .. }, Answer::Found(entries)) => self.adopt(entries),
-            _ => self.next = now + PAUSE,
+        match self.writer.answer(now, answer) {
+            Some(Outcome::Ask(call)) => return Some(Step::Store(call)),
+            Some(Outcome::Stands(window, version)) => self.keep(window, version),
+            Some(Outcome::Missing | Outcome::Failed) => self.next = now + PAUSE,
+            // The removal of an old window, which is not repeated.
+            None => self.state = State::Idle,
         }
         None
     }
@@ -179,17 +173,6 @@
         self.reported.drain(..over);
     }
 
-    fn seal(&mut self, now: Moment, window: Window) -> Option<Step> {
-        let value = serde_json::to_string(&window).ok()?;
-        let call = Call::Swap {
-            key: key(window.number),
-            expect: 0,
-            value,
-        };
-        self.state = State::Sealing { since: now, window };
-        Some(Step::Store(call))
-    }
-
     fn remove_old(&mut self, now: Moment, present: u64) -> Option<Step> {
         let oldest = self.sealed.first()?;
         if oldest.window.number + KEPT >= present {
@@ -220,12 +203,10 @@
     }
 
     fn give_up(&mut self, now: Moment) {
+        self.writer.give_up(now, PATIENCE);
         let since = match &self.state {
             State::Idle => return,
-            State::Sealing { since, .. }
-            | State::Reading { since, .. }
-            | State::Reporting { since, .. }
-            | State::Removing { since } => *since,
+            State::Reporting { since, .. } | State::Removing { since } => *since,
         };
         if now.since(since) >= PATIENCE {
             self.state = State::Idle;
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -11,6 +11,7 @@
 
 use super::fleet::Fleet;
 use super::route::{Scaling, Table};
+use crate::target::Targets;
 use crate::time::Moment;
 
 /// Reclaimable runners ordered for each one needed: they boot for four seconds,
@@ -49,17 +50,13 @@
     }
 }
 
-impl Order {
-    fn key(&self) -> (&str, &str, bool) {
-        (&self.service, &self.zone, self.reclaimable)
-    }
-}
-
 plain! {
-    struct Target {
-        order: Order,
-        accepted: Option<u32>,
-        next: Moment,
+    /// What an order is for.
+    #[derive(Eq, PartialOrd, Ord)]
+    struct Kind {
+        service: String,
+        zone: String,
+        reclaimable: bool,
     }
 }
 
@@ -141,9 +138,10 @@
 /// Orders that were sent, while in charge.
 #[derive(Debug, Default)]
 pub struct Planner {
-    targets: Vec<Target>,
+    targets: Targets<Kind, ()>,
     peaks: Vec<Peak>,
-    sending: Option<(Moment, usize)>,
+    /// When an order was sent whose answer has not come.
+    sending: Option<Moment>,
 }
 
 impl Planner {
@@ -157,7 +155,7 @@
         fleet: &Fleet,
         flow: impl Fn(&str) -> u64,
     ) -> Option<Order> {
-        if self.sending.is_some_and(|(since, _)| now.since(since) < PATIENCE) {
+        if self.sending.is_some_and(|since| now.since(since) < PATIENCE) {
             return None;
         }
         for service in table.services() {
@@ -165,27 +163,35 @@
                 self.plan(now, scaling, fleet, &service.name, flow(&service.name));
             }
         }
-        let due = |target: &Target| {
-            let changed = target.accepted != Some(target.order.count);
-            now.reached(target.next) && (changed || now.since(target.next) >= RESTATE)
-        };
-        let at = self.targets.iter().position(due)?;
-        self.sending = Some((now, at));
-        self.targets[at].next = now + AGAIN;
-        Some(self.targets[at].order.clone())
+        let target = self.targets.due(now, Some(RESTATE))?;
+        self.sending = Some(now);
+        target.next = now + AGAIN;
+        let Kind {
+            service,
+            zone,
+            reclaimable,
+        } = target.key.clone();
+        Some(Order {
+            service,
+            zone,
+            reclaimable,
+            count: target.want,
+        })
     }
 
     /// What came of the order.
     pub fn ordered(&mut self, now: Moment, order: &Order, accepted: bool) {
-        let Some((_, at)) = self.sending.take() else {
+        if self.sending.take().is_none() || !accepted {
             return;
-        };
-        let Some(target) = self.targets.get_mut(at) else {
-            return;
-        };
-        if accepted && target.order == *order {
-            target.accepted = Some(order.count);
-            target.next = now;
+        }
+        let target = self.targets.of(Kind {
+            service: order.service.clone(),
+            zone: order.zone.clone(),
+            reclaimable: order.reclaimable,
+        });
+        // What is wanted may have changed since; that is due at once.
+        if target.want == order.count {
+            target.accept(now, order.count);
         }
     }
 
@@ -212,14 +218,13 @@
             let dependable = lacking.min(most).min(room);
             lacking -= dependable;
             let wanted = peak.usual.div_ceil(count).min(scaling.most - dependable);
-            let order = |reclaimable, count| Order {
+            let kind = |reclaimable| Kind {
                 service: service.to_string(),
                 zone: zone.name.clone(),
                 reclaimable,
-                count,
             };
-            self.want(order(false, dependable));
-            self.want(order(true, wanted.max(scaling.least)));
+            self.targets.of(kind(false)).want(dependable);
+            self.targets.of(kind(true)).want(wanted.max(scaling.least));
         }
     }
 
@@ -245,30 +250,6 @@
             usual: (f64::from(usual) * HEADROOM).ceil() as u32,
         }
     }
-
-    fn want(&mut self, order: Order) {
-        let found = self
-            .targets
-            .binary_search_by(|have| have.order.key().cmp(&order.key()));
-        match found {
-            Ok(at) => {
-                let target = &mut self.targets[at];
-                if target.order != order {
-                    // A new number need not wait for the pause of the old one.
-                    target.next = Moment::default();
-                    target.order = order;
-                }
-            }
-            Err(at) => self.targets.insert(
-                at,
-                Target {
-                    order,
-                    accepted: None,
-                    next: Moment::default(),
-                },
-            ),
-        }
-    }
 }
 
 /// Zones, the cheapest first.
--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -11,6 +11,7 @@
 use crate::lease::Grant;
 use crate::peer::{Demand, ZoneSummary};
 use crate::store::{Answer, Call, Entry};
+use crate::target::Targets;
 use crate::time::Moment;
 
 /// Store prefix of intents.
@@ -40,13 +41,31 @@
     }
 }
 
+impl Order {
+    fn place(&self) -> Place {
+        Place {
+            pool: self.pool.clone(),
+            zone: self.zone.clone(),
+        }
+    }
+}
+
 plain! {
-    struct Target {
+    /// What an order is for.
+    #[derive(Eq, PartialOrd, Ord)]
+    struct Place {
         pool: String,
         zone: String,
-        ordered: Option<u32>,
+    }
+}
+
+plain! {
+    /// What is kept of a target besides its numbers.
+    #[derive(Default)]
+    struct Kept {
+        /// Version of its intent in the store.
         version: u64,
-        want: u32,
+        /// Since when fewer runners would do.
         lower_since: Option<Moment>,
     }
 }
@@ -56,8 +75,8 @@
         Idle,
         Reading { since: Moment },
         Ready,
-        Intending { since: Moment, at: usize, order: Order },
-        Sending { since: Moment, at: usize, order: Order },
+        Intending { since: Moment, order: Order },
+        Sending { since: Moment, order: Order },
     }
 }
 
@@ -75,7 +94,7 @@
 #[derive(Debug)]
 pub struct Planner {
     state: State,
-    targets: Vec<Target>,
+    targets: Targets<Place, Kept>,
     next: Moment,
 }
 
@@ -83,7 +102,7 @@
     fn default() -> Self {
         Self {
             state: State::Idle,
-            targets: Vec::new(),
+            targets: Targets::default(),
             next: Moment::default(),
         }
     }
@@ -127,14 +146,13 @@
                 self.recover(entries);
                 None
             }
-            (State::Intending { at, order, .. }, Answer::Written(version)) => {
-                self.targets[at].version = *version;
+            (State::Intending { order, .. }, Answer::Written(version)) => {
+                self.targets.of(order.place()).more.version = *version;
                 // The last check before the order leaves: a holder paused
                 // while the intent was written must not send it.
                 let grant = grant.filter(|grant| grant.covers(now) && grant.fence == order.fence)?;
                 self.state = State::Sending {
                     since: now,
-                    at,
                     order: order.clone(),
                 };
                 Some(Step::Order(grant, order))
@@ -150,11 +168,11 @@
 
     /// The ordering interface's answer.
     pub fn ordered(&mut self, now: Moment, accepted: bool) {
-        let State::Sending { at, order, .. } = std::mem::replace(&mut self.state, State::Ready) else {
+        let State::Sending { order, .. } = std::mem::replace(&mut self.state, State::Ready) else {
             return;
         };
         if accepted {
-            self.targets[at].ordered = Some(order.count);
+            self.targets.of(order.place()).accept(now, order.count);
         } else {
             *self = Self::default();
             self.next = now + PAUSE;
@@ -175,79 +193,49 @@
     }
 
     fn set(&mut self, now: Moment, pool: &Pool, zone: &str, want: u32) {
-        let at = self.target(&pool.name, zone);
-        let target = &mut self.targets[at];
-        let have = target.ordered.unwrap_or(0);
-        if target.ordered.is_none() || want >= have {
-            target.want = want;
-            target.lower_since = None;
+        let target = self.targets.of(Place {
+            pool: pool.name.clone(),
+            zone: zone.to_string(),
+        });
+        let have = target.accepted.unwrap_or(0);
+        if target.accepted.is_none() || want >= have {
+            target.want(want);
+            target.more.lower_since = None;
             return;
         }
         // Runners take long to start: release only after steady low demand.
-        let since = *target.lower_since.get_or_insert(now);
+        let since = *target.more.lower_since.get_or_insert(now);
         if now.since(since) >= RELEASE {
-            target.want = want;
-            target.lower_since = None;
+            target.want(want);
+            target.more.lower_since = None;
         }
     }
 
     fn intend(&mut self, now: Moment, grant: Grant) -> Option<Step> {
-        let at = self
-            .targets
-            .iter()
-            .position(|target| target.ordered != Some(target.want))?;
-        let target = &self.targets[at];
+        let target = self.targets.due(now, None)?;
         let order = Order {
-            pool: target.pool.clone(),
-            zone: target.zone.clone(),
+            pool: target.key.pool.clone(),
+            zone: target.key.zone.clone(),
             count: target.want,
             fence: grant.fence,
         };
         let call = Call::Swap {
             key: format!("{PREFIX}{}/{}", order.pool, order.zone),
-            expect: target.version,
+            expect: target.more.version,
             value: serde_json::to_string(&order).ok()?,
         };
-        self.state = State::Intending {
-            since: now,
-            at,
-            order,
-        };
+        self.state = State::Intending { since: now, order };
         Some(Step::Store(call))
     }
 
     fn recover(&mut self, entries: &[Entry]) {
-        self.targets.clear();
+        self.targets = Targets::default();
         for entry in entries {
             if let Ok(order) = serde_json::from_str::<Order>(&entry.value) {
-                let at = self.target(&order.pool, &order.zone);
-                self.targets[at].version = entry.version;
-                // Not known whether it was sent: state it once more.
-                self.targets[at].ordered = None;
-                self.targets[at].want = order.count;
-            }
-        }
-    }
-
-    fn target(&mut self, pool: &str, zone: &str) -> usize {
-        match self
-            .targets
-            .binary_search_by(|have| (have.pool.as_str(), have.zone.as_str()).cmp(&(pool, zone)))
-        {
-            Ok(at) => at,
-            Err(at) => {
-                self.targets.insert(
-                    at,
-                    Target {
-                        pool: pool.to_string(),
-                        zone: zone.to_string(),
-                        ordered: None,
-                        version: 0,
-                        want: 0,
-                        lower_since: None,
-                    },
-                );
-                at
+                let target = self.targets.of(order.place());
+                // Not known whether it was sent: it will be stated once more.
+                target.more.version = entry.version;
+                target.want(order.count);
             }
         }
     }
--- a/crates/core/src/usage/report.rs
+++ b/crates/core/src/usage/report.rs
@@ -10,6 +10,7 @@
 use super::gather::add_part;
 use crate::lease::Grant;
 use crate::peer::{Bundle, Collect, Cursor, Part, Row, Span};
+use crate::seal::{Outcome, Writer};
 use crate::store::{Answer, Call};
 use crate::time::Moment;
 
@@ -104,8 +105,7 @@
         ReadSeals { since: Moment, head: u64 },
         Ready,
         Collecting { since: Moment, window: u64, bundle: Bundle },
-        Sealing { since: Moment, seal: Seal },
-        Rereading { since: Moment },
+        Sealing,
         Reporting { since: Moment },
         Recording { since: Moment },
     }
@@ -115,6 +115,7 @@
 #[derive(Debug)]
 pub struct Reporter {
     state: State,
+    writer: Writer<Seal>,
     unreported: Vec<Seal>,
     last: Option<Seal>,
     head_version: u64,
@@ -125,6 +126,7 @@
     fn default() -> Self {
         Self {
             state: State::Idle,
+            writer: Writer::default(),
             unreported: Vec::new(),
             last: None,
             head_version: 0,
@@ -162,9 +164,9 @@
                 bundle,
             } if now.since(*since) >= COLLECT => {
                 let seal = self.seal(*window, bundle);
-                let call = swap(&seal);
-                self.state = State::Sealing { since: now, seal };
-                Some(Step::Store(call))
+                self.state = State::Sealing;
+                let call = self.writer.write(now, seal_key(seal.number), seal);
+                call.map(Step::Store)
             }
             _ => None,
         }
@@ -239,6 +241,9 @@
 
     /// The store's answer.
     pub fn answer(&mut self, now: Moment, answer: &Answer) -> Option<Call> {
+        if let Some(outcome) = self.writer.answer(now, answer) {
+            return self.sealed(now, outcome);
+        }
         match (std::mem::replace(&mut self.state, State::Idle), answer) {
             (State::ReadHead { .. }, Answer::Found(entries)) => {
                 let entry = entries.first().filter(|entry| entry.version > 0);
@@ -259,31 +264,6 @@
                 self.recover(head, entries);
                 None
             }
-            (State::Sealing { seal, .. }, Answer::Written(_)) => {
-                self.adopt(seal);
-                None
-            }
-            (State::Sealing { .. }, Answer::Conflict(entry)) => {
-                if let Ok(seal) = serde_json::from_str(&entry.value) {
-                    self.adopt(seal);
-                }
-                None
-            }
-            // Lost after it may have taken effect: only what stands counts.
-            (State::Sealing { seal, .. }, Answer::Lost) => {
-                self.state = State::Rereading { since: now };
-                Some(Call::Get {
-                    key: seal_key(seal.number),
-                })
-            }
-            (State::Rereading { .. }, Answer::Found(entries)) => {
-                let entry = entries.first().filter(|entry| entry.version > 0);
-                match entry.and_then(|entry| serde_json::from_str(&entry.value).ok()) {
-                    Some(seal) => self.adopt(seal),
-                    None => self.state = State::Ready,
-                }
-                None
-            }
             (State::Recording { .. }, Answer::Written(version)) => {
                 self.head_version = *version;
                 self.state = State::Ready;
@@ -292,13 +272,30 @@
             (State::Idle, _) => None,
             // Anything else: read again from the start.
             _ => {
-                *self = Self::default();
-                self.next = now + PAUSE;
+                self.restart(now);
                 None
             }
         }
     }
 
+    /// What came of sealing a window.
+    fn sealed(&mut self, now: Moment, outcome: Outcome<Seal>) -> Option<Call> {
+        match outcome {
+            Outcome::Ask(call) => return Some(call),
+            Outcome::Stands(seal, _) => self.adopt(seal),
+            Outcome::Missing => self.state = State::Ready,
+            Outcome::Failed => self.restart(now),
+        }
+        None
+    }
+
+    fn restart(&mut self, now: Moment) {
+        *self = Self {
+            next: now + PAUSE,
+            ..Self::default()
+        };
+    }
+
     /// The usage interface's answer; only a clear yes moves on.
     pub fn reported(&mut self, now: Moment, accepted: bool) -> Option<Call> {
         let State::Reporting { .. } = self.state else {
@@ -367,12 +364,13 @@
     }
 
     fn give_up(&mut self, now: Moment) {
+        if self.writer.give_up(now, PATIENCE) {
+            *self = Self::default();
+        }
         let since = match &self.state {
-            State::Idle | State::Ready | State::Collecting { .. } => return,
+            State::Idle | State::Ready | State::Collecting { .. } | State::Sealing => return,
             State::ReadHead { since }
             | State::ReadSeals { since, .. }
-            | State::Sealing { since, .. }
-            | State::Rereading { since }
             | State::Reporting { since }
             | State::Recording { since } => *since,
         };
@@ -387,14 +385,6 @@
     format!("{SEALED}{number:016}")
 }
 
-fn swap(seal: &Seal) -> Call {
-    Call::Swap {
-        key: seal_key(seal.number),
-        expect: 0,
-        value: serde_json::to_string(seal).unwrap_or_default(),
-    }
-}
-
 fn mark(marks: &mut Vec<Mark>, span: &Span, window: u64) {
     let source = crate::id::Incarnation(span.source);
     let mark = Mark {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -20,4 +20,5 @@
 mod process;
 mod repeat;
 mod schedule;
+mod seal;
 mod usage;
--- /dev/null
+++ b/tests/suite/seal.rs
@@ -0,0 +1,100 @@
+//! Figures that are written once, and numbers that were ordered, without sockets.
+
+use std::time::Duration;
+
+use radishstair_core::seal::{Outcome, Writer};
+use radishstair_core::store::{Answer, Call, Entry};
+use radishstair_core::target::Targets;
+use radishstair_core::time::Moment;
+
+fn at(ms: u64) -> Moment {
+    Moment::at_ms(ms)
+}
+
+fn entry(version: u64, value: &str) -> Entry {
+    Entry {
+        key: "k".into(),
+        version,
+        value: value.into(),
+    }
+}
+
+fn writing() -> Writer<u64> {
+    let mut writer = Writer::default();
+    let call = writer.write(at(0), "k".into(), 7).expect("a number becomes JSON");
+    let expected = Call::Swap {
+        key: "k".into(),
+        expect: 0,
+        value: "7".into(),
+    };
+    assert_eq!(call, expected);
+    writer
+}
+
+/// A window is reported twice with different figures. The holder's write stands and its
+/// answer is lost; a later sum must not go out in its place, so what stands is read back.
+#[test]
+fn a_lost_write_is_read_back() {
+    let mut writer = writing();
+    let get = Call::Get { key: "k".into() };
+    assert_eq!(writer.answer(at(1), &Answer::Lost), Some(Outcome::Ask(get)));
+    let found = Answer::Found(vec![entry(4, "9")]);
+    assert_eq!(writer.answer(at(2), &found), Some(Outcome::Stands(9, 4)));
+}
+
+/// The same with two holders in turn: the second one finds the first one's figure in its
+/// way and reports that one.
+#[test]
+fn what_another_wrote_is_adopted() {
+    let conflict = Answer::Conflict(entry(3, "5"));
+    assert_eq!(writing().answer(at(1), &conflict), Some(Outcome::Stands(5, 3)));
+}
+
+/// A figure is reported that no successor would find: the write was refused, or nothing
+/// stands after it was lost. Neither counts as written.
+#[test]
+fn what_does_not_stand_is_not_reported() {
+    assert_eq!(writing().answer(at(1), &Answer::Refused), Some(Outcome::Failed));
+    let mut lost = writing();
+    lost.answer(at(1), &Answer::Lost);
+    let none = Answer::Found(vec![entry(0, "")]);
+    assert_eq!(lost.answer(at(2), &none), Some(Outcome::Missing));
+    assert_eq!(lost.answer(at(3), &none), None, "nothing was asked");
+}
+
+/// The duty stands still for ever. The answer to a write is lost on its way inside the
+/// process; the wait for it ends.
+#[test]
+fn a_wait_ends() {
+    let mut writer = writing();
+    let patience = Duration::from_secs(3);
+    assert!(!writer.give_up(at(2_900), patience) && writer.is_busy());
+    assert!(writer.give_up(at(3_000), patience) && !writer.is_busy());
+}
+
+/// Runners are paid for that nobody wants. An order whose answer was lost is carried out
+/// late, over a newer one; said again after a while, the newer one holds.
+#[test]
+fn what_stands_is_said_again() {
+    let mut targets = Targets::<&str, ()>::default();
+    targets.of("zone-a").want(3);
+    let again = Some(Duration::from_secs(15));
+    let due = targets.due(at(100), again).expect("nothing was accepted");
+    due.accept(at(100), 3);
+    assert!(targets.due(at(15_000), again).is_none());
+    assert!(targets.due(at(15_000), None).is_none());
+    assert_eq!(targets.due(at(15_100), again).map(|target| target.want), Some(3));
+}
+
+/// A burst meets too few runners. An order was refused and waits for its pause; a new
+/// number is due at once.
+#[test]
+fn a_new_number_does_not_wait() {
+    let mut targets = Targets::<&str, ()>::default();
+    let target = targets.of("zone-a");
+    target.want(3);
+    target.next = at(5_000);
+    assert!(targets.due(at(1_000), None).is_none());
+    targets.of("zone-a").want(4);
+    assert_eq!(targets.due(at(1_000), None).map(|target| target.want), Some(4));
+}
