A usage window in which nothing ran is reported as well

The reporter skipped windows without counts, and nobody can tell a missing report from one of nothing. Found by the log of all hosts (usage-reported lines jump from 008 to 010).

Ruled out: a lease that came back late (held from 26.4 s, again from 33.6 s) and a host that had not told its counts (the next window was whole).

Change: a window with no counts is sealed and reported like others, if a host was there before its end. The tests' records now start with the window they speak of instead of at civil time zero, as hosts that old would owe reports of all windows before; no assertion is changed.

--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -137,7 +137,10 @@
             if past_ms < GRACE_MS || !(late || is_whole(now, ledger, end_ms)) {
                 continue;
             }
-            if let Some(window) = sum(now, ledger, number) {
+            // A window in which nothing ran is reported as well: nobody can tell a missing
+            // report from one of nothing. Before the first host there was nothing to run.
+            let window = sum(now, ledger, number);
+            if !window.counts.is_empty() || ledger.since().is_some_and(|since| since < end_ms) {
                 let call = self.writer.write(now, key(number), window);
                 return call.map(Step::Store);
             }
@@ -223,8 +226,8 @@
     alive.all(|(record, _)| record.until >= end_ms)
 }
 
-/// The sum over all runs; none if nothing was counted.
-fn sum(now: Moment, ledger: &Ledger, number: u64) -> Option<Window> {
+/// The sum over all runs.
+fn sum(now: Moment, ledger: &Ledger, number: u64) -> Window {
     let mut total = Window {
         number,
         ..Window::default()
@@ -235,7 +238,7 @@
             total.add(customer, *count);
         }
     }
-    (!total.counts.is_empty()).then_some(total)
+    total
 }
 
 fn key(number: u64) -> String {
--- a/crates/core/src/gate/tally.rs
+++ b/crates/core/src/gate/tally.rs
@@ -186,6 +186,11 @@
         self.rows.iter().map(move |row| (&row.record, alive(row)))
     }
 
+    /// Civil time in milliseconds at the start of the first run that is known.
+    pub fn since(&self) -> Option<u64> {
+        self.rows.iter().map(|row| row.record.began).min()
+    }
+
     /// Takes out the runs that are long gone, and returns them.
     pub fn forget(&mut self, now: Moment) -> Vec<Record> {
         let gone = |row: &mut Row| now.since(row.changed) >= GONE;
--- a/tests/suite/gate/usage.rs
+++ b/tests/suite/gate/usage.rs
@@ -32,7 +32,7 @@
     Record {
         host: host.into(),
         incarnation: Incarnation(run),
-        began,
+        began: WINDOW + began,
         peer: "127.0.0.1:1".into(),
         until: WINDOW + until,
         ended: false,
@@ -81,6 +81,22 @@
     assert!(sealed(tick(&mut reporter, &ledger, 13_200)).is_some());
 }
 
+/// The operator waits for a report in vain. The store was away, keys could not be trusted,
+/// and nothing ran for a whole window; that is reported, as nobody can tell a missing
+/// report from one of nothing. Windows before the first host are not.
+#[test]
+fn a_window_in_which_nothing_ran_is_reported() {
+    let mut ledger = Ledger::default();
+    let idle = Record {
+        windows: Vec::new(),
+        ..record("a", 1, 1_000, 5_100, 0)
+    };
+    ledger.take(at(5_200), idle);
+    let mut reporter = Reporter::default();
+    let window = sealed(tick(&mut reporter, &ledger, 6_300)).expect("all have told");
+    assert_eq!((window.number, window.counts), (200, Vec::new()));
+}
+
 /// Reports come late after an outage of the store. A host was removed long
 /// before; the time in which the store was away is no reason to wait for it
 /// again.
