What one runner has read, others copy from its memory

A thousand shared tokens read again take 16 ms and cost 0.41; copied from a runner that has read them they take 1.2 ms and cost 0.025 (163,840 bytes a token, 0.15 a GB). So far a subject was kept on its runner at the price of waiting there, and read anew elsewhere.

Change: each host remembers all shared parts of prompts (not the deepest alone) and tells the others of those from 100 tokens on; a request that goes to a runner which lacks a beginning names one that has surely read it. A beginning that is just being read is not copied; one that nobody has read goes to its home; a runner that was started again has read nothing. Choosing counts 1.3 tokens for each one copied, and the work of a first reading in full.

Tests: what others copy, what is just being read, a runner that started again. The test of subjects that stay counted the readings told; it now asks that each of its hundred subjects is told.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -76,7 +76,7 @@
 
 /// Tokens from which a subject's place is told to the other hosts: 16 bytes a request
 /// and host, where reading it again takes an engine 15 ms or more.
-const TOLD: u64 = 1_000;
+const TOLD: u64 = 100;
 /// Most places told at once.
 const READINGS: usize = 256;
 
@@ -286,10 +286,10 @@
         let choice = place::choose(&self.fleet, &self.memory, now, demand, tried)?;
         self.fleet.begin(choice.key, choice.work, demand.held());
         self.meter.add(now, &demand.service, choice.work);
-        if let Some(subject) = demand.subject() {
-            self.memory.note(now, subject.id, choice.key);
-            if subject.tokens >= TOLD {
-                self.tell(subject.id, choice.key);
+        for (id, tokens) in demand.beginnings() {
+            self.memory.note(now, id, choice.key);
+            if tokens >= TOLD {
+                self.tell(id, choice.key);
             }
         }
         Some(choice)
--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::load::Row;
+use super::memory::Place;
 use super::place;
 use crate::id::digest;
 use crate::time::Moment;
@@ -143,6 +144,8 @@
         replaced: bool,
         rest: Moment,
         failures: u32,
+        /// Since when it is this run of it; a former one's memory is lost.
+        since: Moment,
     }
 }
 
@@ -235,18 +238,18 @@
                 runner.present = false;
             }
         }
-        let void = items.into_iter().flat_map(|item| self.take(item)).collect();
+        let void = items.into_iter().flat_map(|item| self.take(sent, item)).collect();
         place::part(&mut self.arena);
         void
     }
 
-    fn take(&mut self, item: Listed) -> Vec<SocketAddr> {
+    fn take(&mut self, sent: Moment, item: Listed) -> Vec<SocketAddr> {
         let found = self.ids.binary_search_by(|(id, _)| id.as_str().cmp(&item.id));
         let at = match found {
             Ok(at) => at,
             Err(at) => {
                 let address = item.address;
-                self.add(at, item);
+                self.add(at, sent, item);
                 return vec![address];
             }
         };
@@ -263,10 +266,11 @@
         runner.rest = Moment::default();
         runner.failures = 0;
         runner.failing = 0.0;
+        runner.since = sent;
         vec![former, runner.listed.address]
     }
 
-    fn add(&mut self, at: usize, listed: Listed) {
+    fn add(&mut self, at: usize, since: Moment, listed: Listed) {
         let key = Key(self.arena.len() as u32);
         self.ids.insert(at, (listed.id.clone(), key));
         let hash = digest(listed.id.as_bytes());
@@ -284,6 +288,7 @@
             replaced: false,
             rest: Moment::default(),
             failures: 0,
+            since,
         });
     }
 
@@ -323,6 +328,12 @@
             .filter(move |(_, runner)| own(runner) && (!any || near(runner)))
     }
 
+    /// Whether a runner still keeps what it has read.
+    pub fn keeps(&self, now: Moment, place: &Place) -> bool {
+        let runner = self.get(place.key);
+        runner.is_some_and(|runner| runner.is_open(now) && runner.since <= place.since)
+    }
+
     /// Whether a zone seems cut off from this host.
     fn is_cut(&self, now: Moment, zone: &str) -> bool {
         self.cut
--- a/crates/core/src/gate/memory.rs
+++ b/crates/core/src/gate/memory.rs
@@ -1,5 +1,8 @@
 //! Which runners have read the beginning of which prompts, as this host saw it or
 //! was told.
+//!
+//! A prompt is a chain of parts; requests share its first ones. Each part stands for the
+//! chain up to it.
 
 use std::time::Duration;
 
@@ -10,64 +13,90 @@
 /// the least recently used; at twice the users' peak load a tenth of the memory
 /// turns over in this time.
 const KEPT: Duration = Duration::from_secs(20);
-/// Most subjects remembered; the least recently used go first.
-const MOST: usize = 4_096;
+/// Most parts remembered; the least recently used go first.
+const MOST: usize = 8_192;
+/// Most runners remembered for a part: a short one that all requests of a class share is
+/// soon read everywhere, and copies of it are dear to nobody.
+const PLACES: usize = 64;
 
 plain! {
-    struct Subject {
+    /// A runner that has read a beginning.
+    #[derive(Copy)]
+    pub struct Place {
+        /// The runner.
+        pub key: Key,
+        /// When it was first sent there.
+        pub since: Moment,
+        /// When it was sent there last.
+        pub used: Moment,
+    }
+}
+
+plain! {
+    struct Part {
         id: u64,
         used: Moment,
-        places: Vec<(Key, Moment)>,
+        /// The one that was used last at the end.
+        places: Vec<Place>,
     }
 }
 
-/// Subjects by id.
+/// Parts by id.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
-    subjects: Vec<Subject>,
+    parts: Vec<Part>,
 }
 
 impl Memory {
-    /// Runners that have read the subject lately.
-    pub fn places(&self, now: Moment, subject: u64) -> impl Iterator<Item = Key> {
-        let found = self.subjects.binary_search_by_key(&subject, |have| have.id);
-        let places = found.map_or(&[][..], |at| &self.subjects[at].places);
-        let kept = places.iter().filter(move |(_, used)| now.since(*used) < KEPT);
-        kept.map(|(key, _)| *key)
+    /// Runners that have read the chain up to a part lately.
+    pub fn places(&self, now: Moment, part: u64) -> impl Iterator<Item = &Place> {
+        let found = self.parts.binary_search_by_key(&part, |have| have.id);
+        let places = found.map_or(&[][..], |at| &self.parts[at].places);
+        places.iter().filter(move |place| now.since(place.used) < KEPT)
     }
 
-    /// A request about the subject goes to a runner.
-    pub fn note(&mut self, now: Moment, subject: u64, key: Key) {
-        let at = match self.subjects.binary_search_by_key(&subject, |have| have.id) {
+    /// A request with the part goes to a runner.
+    pub fn note(&mut self, now: Moment, part: u64, key: Key) {
+        let at = match self.parts.binary_search_by_key(&part, |have| have.id) {
             Ok(at) => at,
             Err(at) => {
-                self.subjects.insert(
-                    at,
-                    Subject {
-                        id: subject,
-                        used: now,
-                        places: Vec::new(),
-                    },
-                );
+                let new = Part {
+                    id: part,
+                    used: now,
+                    places: Vec::new(),
+                };
+                self.parts.insert(at, new);
                 at
             }
         };
-        let known = &mut self.subjects[at];
-        known.used = now;
-        known
-            .places
-            .retain(|(have, used)| *have != key && now.since(*used) < KEPT);
-        known.places.push((key, now));
-        if self.subjects.len() > MOST {
+        self.parts[at].note(now, key);
+        if self.parts.len() > MOST {
             self.forget();
         }
     }
 
     /// Drops the older half.
     fn forget(&mut self) {
-        let mut used: Vec<Moment> = self.subjects.iter().map(|subject| subject.used).collect();
+        let mut used: Vec<Moment> = self.parts.iter().map(|part| part.used).collect();
         used.sort_unstable();
         let middle = used[used.len() / 2];
-        self.subjects.retain(|subject| subject.used >= middle);
+        self.parts.retain(|part| part.used >= middle);
+    }
+}
+
+impl Part {
+    fn note(&mut self, now: Moment, key: Key) {
+        self.used = now;
+        self.places.retain(|place| now.since(place.used) < KEPT);
+        let known = self.places.iter().position(|place| place.key == key);
+        let since = known.map_or(now, |at| self.places.remove(at).since);
+        if self.places.len() == PLACES {
+            self.places.remove(0);
+        }
+        self.places.push(Place {
+            key,
+            since,
+            used: now,
+        });
     }
 }
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -7,19 +7,21 @@
 //! - A long prompt is read in chunks between the tokens of all requests beside
 //!   it and makes short streams pause. A part of each zone's runners is kept for
 //!   long prompts, and crossing over costs what the crossing harms.
-//! - Requests about one subject share the beginnings of their prompts. It stays on
-//!   the runners that have read it, as hosts tell each other, and reading it again
-//!   elsewhere costs more than a short wait. Where none has, it goes to a home that
-//!   all hosts compute alike (rendezvous hashing). By the home alone each runner that
-//!   joined took a part of all subjects along, which were read again there.
+//! - Requests about one subject share the beginnings of their prompts. What a runner has
+//!   read, as hosts tell each other, another one copies from its memory, which costs a
+//!   sixteenth of reading it again; so a subject spreads with its load. What none has
+//!   read goes to a home that all hosts compute alike (rendezvous hashing), and stays
+//!   there until it is read.
 //! - Some runners fail part of their requests while they say that they are well, and
 //!   are done with them sooner than sound ones, so that more requests went there. What
 //!   a host sees itself counts as cost.
 //! - Many hosts choose at once from old news, so the work that was sent and not
 //!   yet read counts at once, not when a runner reports it.
 
+use std::time::Duration;
+
 use super::fleet::{Fleet, Key, Runner};
-use super::memory::Memory;
+use super::memory::{Memory, Place};
 use crate::id::weight;
 use crate::time::Moment;
 
@@ -37,6 +39,14 @@
 /// thousand of them like a fifth of a mean long request, which is late after
 /// 2.5 s, the time for 160,000 tokens.
 const REREAD: f64 = 20.0;
+/// Cost of a shared token that is copied from a runner that has read it, in tokens: a
+/// copy of a thousand takes 1.2 ms, and the operators price it like the sixteenth part of
+/// reading them again.
+const COPY: f64 = 1.3;
+/// Time after which a beginning that was sent to a runner has surely been read there: a
+/// part for its turn in the batch, and one for each token.
+const READ: Duration = Duration::from_millis(50);
+const READ_EACH: Duration = Duration::from_micros(60);
 /// Cost of each request that runs on a runner already, in tokens: it slows the
 /// steps of the others by a few milliseconds over their life.
 const BESIDE: f64 = 300.0;
@@ -92,10 +102,31 @@
 }
 
 impl Demand {
+    /// Parts that other requests are likely to share: all but the last one.
+    fn shared_parts(&self) -> &[Part] {
+        let count = self.parts.len().saturating_sub(1).max(1);
+        &self.parts[..count.min(self.parts.len())]
+    }
+
     /// The deepest part that other requests are likely to share.
     pub fn subject(&self) -> Option<Part> {
-        let at = self.parts.len().saturating_sub(2);
-        self.parts.get(at).copied()
+        self.shared_parts().last().copied()
+    }
+
+    /// Tokens that other requests are likely to share.
+    pub fn shared(&self) -> u64 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
+    /// The beginnings of the prompt that other requests may share, the shortest first:
+    /// the id of the part with which each ends, and its tokens.
+    pub fn beginnings(&self) -> Vec<(u64, u64)> {
+        let mut tokens = 0;
+        let upto = |part: &Part| {
+            tokens += part.tokens;
+            (part.id, tokens)
+        };
+        self.shared_parts().iter().map(upto).collect()
     }
 
     /// Whether it counts as long.
@@ -119,6 +150,8 @@
         pub work: u64,
         /// Runners that it was chosen among.
         pub among: u32,
+        /// Runner that has read the beginning of the prompt, from which this one copies it.
+        pub source: Option<Key>,
     }
 }
 
@@ -151,19 +184,27 @@
     let among = open.len() as u32;
     if demand.prompt == 0 {
         let key = nearest(now, fleet, &open, demand)?;
-        return Some(Choice { key, work: 0, among });
+        return Some(Choice {
+            key,
+            work: 0,
+            among,
+            source: None,
+        });
     }
-    let subject = demand.subject();
-    let places: Vec<Key> = subject.map_or(Vec::new(), |part| memory.places(now, part.id).collect());
-    let known = open.iter().any(|(key, _)| places.contains(key));
-    let home = if known { None } else { home(&open, demand) };
+    let read = Read::of(fleet, memory, now, demand);
+    let shared = demand.shared();
+    let home = if read.is_whole(shared) {
+        None
+    } else {
+        home(&open, demand)
+    };
     let candidates = open.iter().map(|(key, runner)| {
-        let kept = subject
-            .filter(|_| home == Some(*key) || places.contains(key))
-            .map_or(0, |part| part.tokens);
-        let shared = subject.map_or(0, |part| part.tokens);
-        let work = work(demand.prompt, kept);
-        let cost = cost(now, runner, demand, work) + REREAD * (shared - kept) as f64;
+        let kept = read.kept(*key);
+        let known = kept.max(read.longest);
+        let work = work(demand.prompt, known);
+        let anew = if home == Some(*key) { 0 } else { shared - known };
+        let copied = known - kept;
+        let cost = cost(now, runner, demand, work) + COPY * copied as f64 + REREAD * anew as f64;
         (cost, *key, work as u64)
     });
     let least = candidates.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -171,9 +212,71 @@
         key: least.1,
         work: least.2,
         among,
+        source: read.source_for(least.1),
     })
 }
 
+/// Time after which a beginning that was sent to a runner has surely been read there.
+fn read_after(tokens: u64) -> Duration {
+    READ + READ_EACH * u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+/// How much of a prompt's beginning runners have read.
+struct Read {
+    /// Runners and tokens, sorted by runner.
+    runners: Vec<(Key, u64)>,
+    /// Most tokens that any has read.
+    longest: u64,
+    /// Runners that have surely read so many, the one that was used last at the end.
+    sources: Vec<Key>,
+}
+
+impl Read {
+    fn of(fleet: &Fleet, memory: &Memory, now: Moment, demand: &Demand) -> Self {
+        let mut read = Self {
+            runners: Vec::new(),
+            longest: 0,
+            sources: Vec::new(),
+        };
+        // The deepest part goes first, so that a runner's first entry is its longest.
+        for (id, tokens) in demand.beginnings().into_iter().rev() {
+            let places = memory.places(now, id);
+            let here: Vec<&Place> = places.filter(|place| fleet.keeps(now, place)).collect();
+            for place in &here {
+                if let Err(at) = read.find(place.key) {
+                    read.runners.insert(at, (place.key, tokens));
+                }
+            }
+            if read.sources.is_empty() {
+                let done = here
+                    .iter()
+                    .filter(|place| now.since(place.since) >= read_after(tokens));
+                read.sources = done.map(|place| place.key).collect();
+                read.longest = if read.sources.is_empty() { 0 } else { tokens };
+            }
+        }
+        read
+    }
+
+    /// Whether any runner has read all of it, or is just reading it.
+    fn is_whole(&self, shared: u64) -> bool {
+        self.runners.iter().any(|(_, tokens)| *tokens == shared)
+    }
+
+    /// Where a runner may copy what it does not have, or no longer has.
+    fn source_for(&self, key: Key) -> Option<Key> {
+        self.sources.iter().rev().find(|source| **source != key).copied()
+    }
+
+    fn find(&self, key: Key) -> Result<usize, usize> {
+        self.runners.binary_search_by_key(&key, |(have, _)| *have)
+    }
+
+    fn kept(&self, key: Key) -> u64 {
+        self.find(key).map_or(0, |at| self.runners[at].1)
+    }
+}
+
 /// Work to read a prompt of which the first `kept` tokens are in memory.
 fn work(prompt: u64, kept: u64) -> f64 {
     let whole = |tokens: u64| tokens as f64 * (1.0 + tokens as f64 / (2.0 * QUADRATIC));
--- a/crates/entry/src/gate/dialect.rs
+++ b/crates/entry/src/gate/dialect.rs
@@ -4,6 +4,7 @@
 //! types here say what the platform's fields hold, in the product's words.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -54,6 +55,8 @@
     pub customer: Option<&'a str>,
     /// Event after which the stream goes on.
     pub after: Option<u64>,
+    /// Runner from whose memory it copies the beginning of the prompt.
+    pub source: Option<SocketAddr>,
 }
 
 /// What a runner's head says of its answer.
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -46,6 +46,8 @@
     address: SocketAddr,
     work: u64,
     held: u64,
+    /// Where a runner listens that has read the beginning of the prompt.
+    source: Option<SocketAddr>,
 }
 
 impl Slot {
@@ -140,6 +142,8 @@
         let choice = state.place(now, &demand, tried)?;
         let listed = &state.fleet.get(choice.key)?.listed;
         let (id, address) = (listed.id.clone(), listed.address);
+        let source = choice.source.and_then(|key| state.fleet.get(key));
+        let source = source.map(|runner| runner.listed.address);
         drop(state);
         let slot = Slot {
             shared: self.shared.clone(),
@@ -148,6 +152,7 @@
             address,
             work: choice.work,
             held: demand.held(),
+            source,
         };
         Some((slot, choice.among))
     }
@@ -325,6 +330,7 @@
             rank: job.is_stream().then_some(job.admission.rank),
             customer: job.admission.customer.as_deref(),
             after: after.or(job.head.last_event),
+            source: slot.source,
         };
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.parts.method.clone();
--- a/tests/suite/gate/place.rs
+++ b/tests/suite/gate/place.rs
@@ -113,7 +113,10 @@
     };
     let first: Vec<_> = wanted.iter().map(|demand| place(&mut one, demand, 1)).collect();
     let news = one.news(at(2), Incarnation(1), 1);
-    assert_eq!(news.readings.len(), 100);
+    let mut told: Vec<u64> = news.readings.iter().map(|reading| reading.subject).collect();
+    told.sort_unstable();
+    told.dedup();
+    assert_eq!(told, (0..100).collect::<Vec<u64>>(), "each subject is told");
     other.hear(at(3), Incarnation(2), news);
     for state in [&mut one, &mut other] {
         state.fleet.list(at(4), listed(20));
@@ -157,6 +160,54 @@
     assert!((2..=8).contains(&used.len()), "{} runners", used.len());
 }
 
+/// A subject is hot and its runner falls behind; elsewhere its beginning would be read
+/// again, for as long as its readers wait. The others copy it from the runner that has
+/// read it, so each is placed by load and none reads it twice.
+#[test]
+fn what_one_runner_has_read_others_copy() {
+    let mut state = host(14);
+    let first = state.place(at(1), &demand(12_000, 5), &[]).expect("one");
+    assert_eq!(first.source, None, "nobody has read it");
+    let mut used = vec![first.key];
+    for _ in 0..12 {
+        let choice = state.place(at(2_000), &demand(12_000, 5), &[]).expect("one");
+        match used.contains(&choice.key) {
+            true => assert_ne!(choice.source, Some(choice.key)),
+            false => assert!(choice.source.is_some_and(|source| used.contains(&source))),
+        }
+        assert!(choice.work < first.work, "the beginning is not read again");
+        used.push(choice.key);
+    }
+    used.sort_unstable();
+    used.dedup();
+    assert!(used.len() >= 6, "{} runners", used.len());
+}
+
+/// Two requests about a new subject come together. What the first runner is just reading
+/// cannot be copied yet; the second one follows it there instead of reading it elsewhere.
+#[test]
+fn what_is_just_being_read_is_not_copied() {
+    let mut state = host(14);
+    let first = state.place(at(1), &demand(12_000, 5), &[]).expect("one");
+    let second = state.place(at(20), &demand(12_000, 5), &[]).expect("one");
+    assert_eq!((second.key, second.source), (first.key, None));
+}
+
+/// A runner starts again under its id, with empty memory. Told to copy from it, others
+/// would read everything anew; it counts as having read nothing.
+#[test]
+fn a_runner_that_started_again_has_read_nothing() {
+    let mut state = host(2);
+    let first = state.place(at(1), &demand(12_000, 5), &[]).expect("one");
+    let mut again = listed(2);
+    again.iter_mut().for_each(|runner| runner.born += 1_000);
+    state.fleet.list(at(1_000), again);
+    let second = state
+        .place(at(2_000), &demand(12_000, 5), &[first.key])
+        .expect("one");
+    assert_eq!(second.source, None);
+}
+
 /// A runner fails four of ten requests at once, while it says that it is well. It is
 /// always the one with the least to do, so a third of all requests and more went there;
 /// now it gets less than a sound one until it has answered well for a while.
