A connection that is given up is reset, so that nothing of it arrives later

Closing a connection sends what waits in its buffer first, however long that takes; only a reset drops it.

Ruled out: the pool handing out a connection to a leaving runner (the send was before the notice), and a repeat (the request was sent once).

Change: SO_LINGER of zero on connections to runners, the store and peers. They are closed idle or to give up what they carry, so no answer is lost by it.

--- a/crates/entry/src/upstream/line.rs
+++ b/crates/entry/src/upstream/line.rs
@@ -92,6 +92,11 @@
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    // Closing resets. Otherwise bytes that wait in this host's buffer, as on a path that is
+    // cut, still arrive after the request was given up, and run seconds later: beside a
+    // repeat elsewhere, or at a runner that has begun to leave. A reset drops them. Nothing
+    // is lost by it, as a connection is closed only idle or to give up what it carries.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(SILENCE))?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
