A path that is cut without a sign is looked at and left

And callers of such a runner waited 1.2 to 1.5 s.

Change: where no answer has begun after 0.8 s, the runner's address is asked for a new connection. If two in a row get no answer at all, the request counts as broken off, its connection is reset, the runner rests (two of a zone rest the zone) and its idle connections go; a connection that is made waits for the next request. A runner that refuses one is there, and is waited for. The kernel's limit is 2.5 s now, after these looks.

--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -26,12 +26,18 @@
 use super::dialect::{Mark, Pass};
 use super::job::{Job, Tries};
 use crate::upstream::course::Stop;
-use crate::upstream::line::Line;
+use crate::upstream::line::{self, Line};
 use crate::upstream::pool::{self, Pool};
 use crate::upstream::{self, Exchange, Failure, Kept};
 
 /// Most bytes of a plain answer, which is held until it is whole.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Time without an answer after which the path to the runner is looked at: on the users'
+/// calm days one long request in twenty waits longer, and each look is a connection.
+const DOUBT: Duration = Duration::from_millis(800);
+/// Looks in a row that get no answer before the path counts as cut: where three packets
+/// in a hundred are lost, one look in thirty gets none.
+const MISSED: u32 = 2;
 /// Longest time to read a refusal to its end, so that its connection serves on.
 const DRAIN: Duration = Duration::from_millis(50);
 
@@ -178,9 +184,16 @@
         let request = self.request(now, job, after, &slot);
         tries.runs.send();
         let exchange = upstream::exchange(line, slot.address, request);
+        let answer = async {
+            tokio::select! {
+                biased;
+                sent = exchange => sent,
+                () = self.path_lost(job, &slot) => Err(Failure::Broken),
+            }
+        };
         let sent = match job.left(now) {
-            Some(left) => timeout(left, exchange).await,
-            None => Ok(exchange.await),
+            Some(left) => timeout(left, answer).await,
+            None => Ok(answer.await),
         };
         match sent {
             Ok(Ok(exchange)) => self.judge(job, slot, exchange).await,
@@ -205,6 +218,30 @@
         }
     }
 
+    /// Ends when the runner cannot be reached any more.
+    ///
+    /// A cut path is silent, and looks like a runner that takes its time. Left to the
+    /// kernel, the connection would end without a reset, and the request would reach the
+    /// runner when the path is back, seconds after its caller was told that it failed. A
+    /// new connection tells the two apart; a runner that refuses one is there.
+    async fn path_lost(&self, job: &Job, slot: &Slot) {
+        let mut missed = 0;
+        while missed < MISSED {
+            tokio::time::sleep(if missed == 0 { DOUBT } else { Duration::ZERO }).await;
+            match Line::connect(slot.address, pool::CONNECT).await {
+                Ok(line) => {
+                    missed = 0;
+                    self.pool.give(self.shared.now(), slot.address, line, None);
+                }
+                Err(err) if line::is_silent(&err) => missed += 1,
+                Err(_) => missed = 0,
+            }
+        }
+        slot.sign(Sign::Unreachable);
+        self.pool.forget(slot.address);
+        tracing::info!(event = "path-lost", request = job.head.id, runner = slot.id);
+    }
+
     async fn connect(&self, job: &Job, slot: &Slot) -> Result<Line, Halt> {
         let now = self.shared.now();
         let limit = job.left(now).unwrap_or(pool::CONNECT);
--- a/crates/entry/src/upstream/line.rs
+++ b/crates/entry/src/upstream/line.rs
@@ -14,12 +14,14 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 /// Unacknowledged bytes end a connection after this time: a host without power
-/// sends no reset. Three retransmissions fit in, so that one lost packet in
-/// thirty does not end it.
-const SILENCE: Duration = Duration::from_millis(1_500);
+/// sends no reset. Longer than this host's own looks at the path take
+/// (`path_lost` of the forwarder): what the kernel ends is not reset, and its
+/// bytes may arrive when the path is back.
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// Probes on a connection that waits: first after, then every, this many lost.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBE_EVERY: Duration = Duration::from_secs(1);
@@ -89,6 +91,11 @@
     }
 }
 
+/// Whether a connection failed because nobody answered at all.
+pub fn is_silent(err: &anyhow::Error) -> bool {
+    err.is::<Elapsed>()
+}
+
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
