--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -115,6 +115,8 @@
         pub customer: Option<String>,
         /// Urgency, 0 first, up to [`LAST_RANK`].
         pub rank: u8,
+        /// Whether its runner copies from others what it has not read of the prompt.
+        pub copies: bool,
         /// Whether it needs a fresh proof when it is passed on.
         pub keyed: bool,
         /// Version of the document that admitted it.
@@ -242,8 +244,11 @@
                 Some(found.ok_or_else(|| unless_newest(Kind::UnknownKey))?)
             }
         };
+        let service = route.service(ask.draw);
+        let engine = table.service(service).and_then(|service| service.engine);
         Ok(Admission {
-            service: route.service(ask.draw).to_string(),
+            service: service.to_string(),
+            copies: engine.is_some_and(|engine| engine.copies),
             customer: customer.map(|customer| customer.name.clone()),
             rank: table.rank(route, customer, LAST_RANK),
             keyed: customer.is_some(),
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -94,6 +94,8 @@
         /// Parts of its prompt in order; the last one is its own where there
         /// are others before it.
         pub parts: Vec<Part>,
+        /// Whether its runner copies from others what it has not read of the prompt.
+        pub copies: bool,
         /// Whether it may run at most once.
         pub once: bool,
         /// Draw that decides among equals.
@@ -247,7 +249,7 @@
                     read.runners.insert(at, (place.key, tokens));
                 }
             }
-            if read.sources.is_empty() {
+            if demand.copies && read.sources.is_empty() {
                 let done = here
                     .iter()
                     .filter(|place| now.since(place.since) >= read_after(tokens));
--- a/crates/core/src/gate/route.rs
+++ b/crates/core/src/gate/route.rs
@@ -98,6 +98,8 @@
         pub slots: u32,
         /// Tokens its memory holds.
         pub tokens: u64,
+        /// Whether one copies from another's memory what it has not read.
+        pub copies: bool,
     }
 }
 
--- a/tests/suite/gate/build.rs
+++ b/tests/suite/gate/build.rs
@@ -49,6 +49,7 @@
         engine: slots.map(|slots| Engine {
             slots,
             tokens: 480_000,
+            copies: true,
         }),
         scaling: None,
     }
--- a/tests/suite/gate/place.rs
+++ b/tests/suite/gate/place.rs
@@ -38,6 +38,7 @@
         service: "engines".into(),
         prompt,
         output: 100,
+        copies: true,
         parts: vec![
             Part { id: 1, tokens: 100 },
             Part {
@@ -183,6 +184,22 @@
     assert!(used.len() >= 6, "{} runners", used.len());
 }
 
+/// Engines without a link between their memories: a source would be named in vain. The
+/// subject stays where it was read, as reading it again is dear.
+#[test]
+fn without_copies_a_subject_stays() {
+    let mut state = host(14);
+    let alone = Demand {
+        copies: false,
+        ..demand(12_000, 5)
+    };
+    let first = state.place(at(1), &alone, &[]).expect("one");
+    for ms in [2_000, 2_100, 2_200] {
+        let choice = state.place(at(ms), &alone, &[]).expect("one");
+        assert_eq!((choice.key, choice.source), (first.key, None));
+    }
+}
+
 /// Two requests about a new subject come together. What the first runner is just reading
 /// cannot be copied yet; the second one follows it there instead of reading it elsewhere.
 #[test]
