Old counts that are read for the first time do not revive a dead host

By a log line a tick, the holder waited for the counts of front-ch-central-c-1, which had been removed at 3.0 s; the holder had started at 7.0 s and come into charge at 11.4 s, read the dead host's old counts for the first time then, and took them for a sign of life for eight more seconds.

Ruled out: the hosts cut off from 8 to 16 s (their counts were whole at 16.9 s) and orders that hold up the duty's step (a tick each 0.25 s).

Change: what is read in the store tells counts; life shows in news from the run itself, and in its counts changing in the store. Test first: old_counts_do_not_revive_the_dead.

--- a/crates/core/src/gate/tally.rs
+++ b/crates/core/src/gate/tally.rs
@@ -112,15 +112,31 @@
 const GONE: Duration = Duration::from_secs(60);
 
 impl Ledger {
-    /// Takes a record in, unless one that reaches further is known.
+    /// Takes a record in as its run has just told it, unless one that reaches further is
+    /// known; the run lives.
     pub fn take(&mut self, now: Moment, record: Record) {
+        let run = record.incarnation;
+        if self.read(now, record)
+            && let Ok(at) = self.find(run)
+        {
+            self.rows[at].changed = now;
+        }
+    }
+
+    /// Takes a record in that was read in the store, where it may have lain since its run
+    /// died; whether it reaches further than what was known.
+    ///
+    /// A host that has just come into charge reads all of them for the first time. Taken for
+    /// signs of life, the windows of the last seconds would wait for the dead.
+    pub fn read(&mut self, now: Moment, record: Record) -> bool {
         match self.find(record.incarnation) {
             Ok(at) => {
                 let have = &mut self.rows[at];
-                if (record.until, record.ended) > (have.record.until, have.record.ended) {
+                let further = (record.until, record.ended) > (have.record.until, have.record.ended);
+                if further {
                     have.record = record;
-                    have.changed = now;
                 }
+                return further;
             }
             Err(at) => self.rows.insert(
                 at,
@@ -131,6 +147,7 @@
                 },
             ),
         }
+        true
     }
 
     /// Takes a run's presence in; what it counted is not known by this.
--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -178,7 +178,7 @@
                 .map(|entry| entry.key.clone());
             let now = self.shared.now();
             for record in entries.iter().filter_map(parse) {
-                self.shared.state().ledger.take(now, record);
+                self.shared.state().ledger.read(now, record);
             }
             let Some(last) = last else {
                 break;
--- a/tests/suite/gate/usage.rs
+++ b/tests/suite/gate/usage.rs
@@ -132,6 +132,18 @@
     assert_eq!(window.counts, vec![("ana".to_string(), 16)]);
 }
 
+/// Reports of the last windows come too late. A host dies, another one starts, comes into
+/// charge, and reads the dead one's old counts for the first time; it must not wait eight
+/// more seconds for a host that was gone before it started.
+#[test]
+fn old_counts_do_not_revive_the_dead() {
+    let mut ledger = Ledger::default();
+    ledger.show(at(7_000), presence("gone", 1, false));
+    ledger.read(at(11_400), record("gone", 1, 0, 1_400, 3));
+    let alive = |ms| ledger.all(at(ms)).filter(|(_, alive)| *alive).count();
+    assert_eq!((alive(14_900), alive(15_100)), (1, 0));
+}
+
 /// A host is thought dead and its part of the shared budget goes to others. It writes
 /// its counts once a window, and that they have changed tells that it lives; an old
 /// reading of them does not, nor does a host that has said its end.
