Windows that can still be reported in time go first; what was accepted is not said again

Change: windows not yet due go before those that are late, and accepted reports stay known to the process that sent them. Test: what_can_be_in_time_goes_first.

--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -99,10 +99,11 @@
         }
     }
 
-    /// Not in charge: what was reported is forgotten, what was sealed is not.
+    /// Not in charge: what is under way is forgotten, what was sealed or accepted is not.
     pub fn rest(&mut self) {
         *self = Self {
             sealed: std::mem::take(&mut self.sealed),
+            reported: std::mem::take(&mut self.reported),
             ..Self::default()
         };
     }
@@ -122,8 +123,10 @@
         }
         let length_ms = plan.length_s * 1_000;
         let present = civil_ms / length_ms.max(1);
-        let first = present.saturating_sub(plan.due_s / plan.length_s.max(1) + BEHIND);
-        for number in first..present {
+        let in_time = present.saturating_sub(plan.due_s / plan.length_s.max(1));
+        let first = in_time.saturating_sub(BEHIND);
+        // Those that may still come in time go first: after an outage a tick decides.
+        for number in (in_time..present).chain(first..in_time) {
             if self.reported.binary_search(&number).is_ok() {
                 continue;
             }
--- a/tests/suite/gate/usage.rs
+++ b/tests/suite/gate/usage.rs
@@ -132,6 +132,37 @@
     assert_eq!(window.counts, vec![("ana".to_string(), 16)]);
 }
 
+/// A report misses its time by a tick. The store was away for eight seconds; what is late
+/// anyway, or was accepted before, must not go ahead of what can still be in time.
+#[test]
+fn what_can_be_in_time_goes_first() {
+    let mut ledger = Ledger::default();
+    let counts = |number| Window {
+        number,
+        counts: vec![("ana".into(), 1)],
+    };
+    let host = Record {
+        windows: (197..=200).map(counts).collect(),
+        began: 0,
+        ..record("a", 1, 0, 20_000, 0)
+    };
+    ledger.take(at(14_000), host);
+    let mut reporter = Reporter::default();
+    let mut reported = Vec::new();
+    for ms in [14_300, 14_600, 14_900, 15_200, 15_500, 15_800] {
+        let Some(window) = sealed(tick(&mut reporter, &ledger, ms)) else {
+            break;
+        };
+        reporter.answer(at(ms), &Answer::Written(1));
+        assert!(matches!(tick(&mut reporter, &ledger, ms), Some(Step::Report(..))));
+        reporter.reported(at(ms), true);
+        reported.push(window.number);
+        // Losing the duty does not make it say again what was accepted.
+        reporter.rest();
+    }
+    assert_eq!(reported[..4], [200, 201, 198, 199]);
+}
+
 /// Reports of the last windows come too late. A host dies, another one starts, comes into
 /// charge, and reads the dead one's old counts for the first time; it must not wait eight
 /// more seconds for a host that was gone before it started.
