The kernel ends a connection last: what it ends is not taken back

The looks at the path take 1.2 s, so it was the kernel that ended this connection: its probes of the idle connection had gone unanswered for three seconds.

Change: the kernel's limits on unacknowledged bytes and on lost probes are 8 s, longer than whatever a host waits for before it closes, and so resets, a connection by itself.

--- a/crates/entry/src/upstream/line.rs
+++ b/crates/entry/src/upstream/line.rs
@@ -17,15 +17,17 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
-/// Unacknowledged bytes end a connection after this time: a host without power
-/// sends no reset. Longer than this host's own looks at the path take
-/// (`path_lost` of the forwarder): what the kernel ends is not reset, and its
-/// bytes may arrive when the path is back.
-const SILENCE: Duration = Duration::from_millis(2_500);
-/// Probes on a connection that waits: first after, then every, this many lost.
+/// Time after which the kernel ends a connection on which nothing is acknowledged, as a
+/// host without power sends no reset. It is the last resort: what the kernel ends is not
+/// always reset, and a request whose bytes wait on a cut path would run when the path is
+/// back. So it is longer than whatever this host waits for by itself before it closes (and
+/// resets) a connection: looks at the path of a runner, limits of calls to the platform.
+const SILENCE: Duration = Duration::from_secs(8);
+/// Probes on a connection that waits: first after, then every, this many lost. Together
+/// as long as [`SILENCE`].
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBE_EVERY: Duration = Duration::from_secs(1);
-const PROBES: u32 = 2;
+const PROBES: u32 = 7;
 
 /// A connection; dropping it closes it at once, which cancels what runs there.
 #[derive(Debug)]
