One request asks for all that wait whether a silent runner can be reached

Cause: read in the diff: each request that waited 0.8 s asked its runner for a connection, again and again; under a burst a hundred wait for one runner, which takes at most 240 connections from all hosts, fewer while its queue is long, and resets those beyond, its callers' among them.

Change: the fleet keeps when a runner was heard last, by whomever; a request asks only after 0.8 s without a word, the others wait for what that look tells, and all that were sent before a cut was found are ended by it. The decision is the core's (Fleet::silence), tested without sockets: one_request_asks_for_all_that_wait, all_that_wait_learn_of_a_cut.

--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -36,6 +36,9 @@
 /// Weight of the newest answer in the part of failures: a host sees an answer of a
 /// runner every other second, and grey runners are grey for some seconds.
 const NEWEST: f64 = 0.25;
+/// Time without a word from a runner after which the path to it is looked at: on the
+/// users' calm days one long request in twenty waits longer for its answer.
+const DOUBT: Duration = Duration::from_millis(800);
 /// Rest of a runner that said it was full.
 const FULL_REST: Duration = Duration::from_millis(150);
 
@@ -82,8 +85,10 @@
         Failed,
         /// It said that it was full.
         Full,
-        /// It could not be reached, or fell silent.
+        /// No connection to it came about.
         Unreachable,
+        /// It fell silent, and the path to it is cut.
+        Cut,
         /// It broke off, or its answer was not one.
         Broken,
         /// Another instance answered at its address.
@@ -91,6 +96,19 @@
     }
 }
 
+plain! {
+    /// What a request that waits for its answer makes of its runner's silence.
+    #[derive(Copy, Eq)]
+    pub enum Silence {
+        /// The runner said something lately; look again after this time.
+        Short(Duration),
+        /// Nothing came for long: ask whether it can be reached.
+        Long,
+        /// It could not be reached since the request was sent.
+        Cut,
+    }
+}
+
 plain! {
     /// A connection that waits for its next request.
     #[derive(Copy)]
@@ -146,6 +164,10 @@
         failures: u32,
         /// Since when it is this run of it; a former one's memory is lost.
         since: Moment,
+        /// When it was heard, or asked, last.
+        heard: Moment,
+        /// When the path to it was found to be cut last.
+        lost: Option<Moment>,
     }
 }
 
@@ -289,6 +311,8 @@
             rest: Moment::default(),
             failures: 0,
             since,
+            heard: Moment::default(),
+            lost: None,
         });
     }
 
@@ -393,6 +417,33 @@
         }
     }
 
+    /// A runner has answered something, or taken a connection.
+    pub fn hear(&mut self, now: Moment, key: Key) {
+        if let Some(runner) = self.arena.get_mut(key.index()) {
+            runner.heard = now;
+        }
+    }
+
+    /// What a request that was sent at `sent` makes of its runner's silence.
+    ///
+    /// A cut path gives no sign, and looks like a runner that takes its time. Many requests
+    /// may wait for one runner; one of them asks, so that a runner with a long queue does
+    /// not have to take a connection for each, and all learn what came of it.
+    pub fn silence(&mut self, now: Moment, key: Key, sent: Moment) -> Silence {
+        let Some(runner) = self.arena.get_mut(key.index()) else {
+            return Silence::Cut;
+        };
+        if runner.lost.is_some_and(|lost| lost.reached(sent)) {
+            return Silence::Cut;
+        }
+        let quiet = now.since(runner.heard).min(now.since(sent));
+        if quiet < DOUBT {
+            return Silence::Short(DOUBT - quiet);
+        }
+        runner.heard = now;
+        Silence::Long
+    }
+
     /// Replaces what other hosts have on each runner, by the hash of its id.
     pub fn others(&mut self, of: impl Fn(u64) -> Row) {
         for runner in &mut self.arena {
@@ -417,7 +468,10 @@
             }
             Sign::Full => runner.rest = now + FULL_REST,
             Sign::Replaced => runner.replaced = true,
-            Sign::Unreachable => {
+            Sign::Unreachable | Sign::Cut => {
+                if sign == Sign::Cut {
+                    runner.lost = Some(now);
+                }
                 runner.rest = now + (REST * 2u32.saturating_pow(runner.failures)).min(REST_MOST);
                 runner.failures = (runner.failures + 1).min(5);
                 self.suspect(now, &zone);
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -17,7 +17,7 @@
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
-use radishstair_core::gate::fleet::{Key, Sign};
+use radishstair_core::gate::fleet::{Key, Sign, Silence};
 use radishstair_core::repeat::Fault;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
@@ -32,11 +32,8 @@
 
 /// Most bytes of a plain answer, which is held until it is whole.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Time without an answer after which the path to the runner is looked at: on the users'
-/// calm days one long request in twenty waits longer, and each look is a connection.
-const DOUBT: Duration = Duration::from_millis(800);
-/// Looks in a row that get no answer before the path counts as cut: where three packets
-/// in a hundred are lost, one look in thirty gets none.
+/// Connections in a row that nobody answers before the path counts as cut: where three
+/// packets in a hundred are lost, one in thirty gets no answer.
 const MISSED: u32 = 2;
 /// Longest time to read a refusal to its end, so that its connection serves on.
 const DRAIN: Duration = Duration::from_millis(50);
@@ -220,26 +217,41 @@
 
     /// Ends when the runner cannot be reached any more.
     ///
-    /// A cut path is silent, and looks like a runner that takes its time. Left to the
-    /// kernel, the connection would end without a reset, and the request would reach the
-    /// runner when the path is back, seconds after its caller was told that it failed. A
-    /// new connection tells the two apart; a runner that refuses one is there.
+    /// Left to the kernel, the connection would end without a reset, and the request would
+    /// reach the runner when the path is back, seconds after its caller was told that it
+    /// failed.
     async fn path_lost(&self, job: &Job, slot: &Slot) {
-        let mut missed = 0;
-        while missed < MISSED {
-            tokio::time::sleep(if missed == 0 { DOUBT } else { Duration::ZERO }).await;
+        let sent = self.shared.now();
+        loop {
+            let now = self.shared.now();
+            let silence = self.shared.state().fleet.silence(now, slot.key, sent);
+            match silence {
+                Silence::Short(rest) => tokio::time::sleep(rest).await,
+                Silence::Long if self.answers(slot).await => {}
+                Silence::Long => {
+                    slot.sign(Sign::Cut);
+                    self.pool.forget(slot.address);
+                    break;
+                }
+                Silence::Cut => break,
+            }
+        }
+        tracing::info!(event = "path-lost", request = job.head.id, runner = slot.id);
+    }
+
+    /// Whether the runner takes a new connection, or refuses it; one that does is there.
+    async fn answers(&self, slot: &Slot) -> bool {
+        for _ in 0..MISSED {
             match Line::connect(slot.address, pool::CONNECT).await {
                 Ok(line) => {
-                    missed = 0;
                     self.pool.give(self.shared.now(), slot.address, line, None);
+                    return true;
                 }
-                Err(err) if line::is_silent(&err) => missed += 1,
-                Err(_) => missed = 0,
+                Err(err) if line::is_silent(&err) => {}
+                Err(_) => return true,
             }
         }
-        slot.sign(Sign::Unreachable);
-        self.pool.forget(slot.address);
-        tracing::info!(event = "path-lost", request = job.head.id, runner = slot.id);
+        false
     }
 
     async fn connect(&self, job: &Job, slot: &Slot) -> Result<Line, Halt> {
@@ -273,6 +285,8 @@
 
     /// Sorts an answer by its head.
     async fn judge(&self, job: &Job, slot: Slot, exchange: Exchange) -> Result<Opened, Halt> {
+        let now = self.shared.now();
+        self.shared.state().fleet.hear(now, slot.key);
         let (response, kept) = exchange.split();
         let (parts, body) = response.into_parts();
         let mark = self.shared.dialect.mark(&parts);
--- a/tests/suite/gate/fleet.rs
+++ b/tests/suite/gate/fleet.rs
@@ -1,6 +1,6 @@
 //! Runners that come and go, as one host believes.
 
-use radishstair_core::gate::fleet::{Fleet, Idle, Sign, Stage};
+use radishstair_core::gate::fleet::{Fleet, Idle, Sign, Silence, Stage};
 use radishstair_core::time::Moment;
 
 use super::build::runner;
@@ -132,3 +132,40 @@
     fleet.sign(at(70), key(&fleet, "b3"), Sign::Sound);
     assert_eq!(open(&fleet, 500), ["a", "b1", "b2", "b3"], "it is reached again");
 }
+
+/// A runner with a long queue is asked for a connection by each request that waits for it,
+/// and passes its limit. One request asks for all: after 0.8 s without a word, and again
+/// after as long; a word from the runner to anyone puts it off.
+#[test]
+fn one_request_asks_for_all_that_wait() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a"]));
+    let key = fleet.find("a").expect("listed");
+    let rest = |ms| Silence::Short(Duration::from_millis(ms));
+    assert_eq!(fleet.silence(at(0), key, at(0)), rest(800));
+    fleet.hear(at(500), key);
+    assert_eq!(fleet.silence(at(800), key, at(0)), rest(500));
+    assert_eq!(fleet.silence(at(1_300), key, at(0)), Silence::Long);
+    for _ in 0..50 {
+        assert_eq!(fleet.silence(at(1_301), key, at(0)), rest(799));
+    }
+    assert_eq!(fleet.silence(at(2_100), key, at(0)), Silence::Long);
+}
+
+/// Requests wait for their runner behind a cut until the route's time-out. Once one of
+/// them has found the path cut, all that were sent before know; one connection that failed,
+/// as where packets are lost, tells them nothing.
+#[test]
+fn all_that_wait_learn_of_a_cut() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a"]));
+    let key = fleet.find("a").expect("listed");
+    fleet.sign(at(100), key, Sign::Unreachable);
+    assert!(matches!(fleet.silence(at(200), key, at(0)), Silence::Short(_)));
+    fleet.sign(at(1_200), key, Sign::Cut);
+    assert_eq!(fleet.silence(at(1_300), key, at(0)), Silence::Cut);
+    assert!(matches!(
+        fleet.silence(at(1_400), key, at(1_300)),
+        Silence::Short(_)
+    ));
+}
