The first list of a host that has just started brings no doubt about removed entries

A list after a pause of the store's answers does not take runners out for 2.3 s, as live ones' entries may have lapsed; the first list of a process counted as such a pause.

Ruled out, by a line for each question of that host: old news from its peer (it knew the store as of 0.27 s before at each round; one round asked a dead peer for 0.25 s first).

Change: only a pause between two lists is one. What lapsed before the first list is not in it. Test first: a_host_that_has_just_started_believes_a_removal.

--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -250,7 +250,9 @@
     /// them would leave nobody to serve. They count as present until the store
     /// has been back for long enough to list them again.
     pub fn list(&mut self, sent: Moment, items: Vec<Listed>) -> Vec<SocketAddr> {
-        if self.listed.is_none_or(|last| sent.since(last) >= AWAY) {
+        // The first list of a process brings no such doubt: what lapsed before is not in it,
+        // and an entry that is goes for good when it is removed.
+        if self.listed.is_some_and(|last| sent.since(last) >= AWAY) {
             self.back = Some(sent);
         }
         self.listed = Some(sent);
--- a/tests/suite/gate/fleet.rs
+++ b/tests/suite/gate/fleet.rs
@@ -169,3 +169,14 @@
         Silence::Short(_)
     ));
 }
+
+/// A runner that has left goes on getting requests from a host that has just started. Its
+/// entry was in the host's first list and is removed a second later, in a sound store; only
+/// a pause of the store's answers would make that doubtful.
+#[test]
+fn a_host_that_has_just_started_believes_a_removal() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a", "b"]));
+    fleet.list(at(1_000), listed(&["a"]));
+    assert_eq!(open(&fleet, 1_100), ["a"]);
+}
