KNOWN-RED: answers that are not whole beside a heavy load, seen once, not traced

The assertion's message now lists status and kind of the answers that were not whole; what it asks for is unchanged.

--- a/tests/suite/duties_live.rs
+++ b/tests/suite/duties_live.rs
@@ -189,7 +189,15 @@
             );
         }
     }
-    assert!(whole >= 40, "{whole} of 60 answers were whole");
+    let others = history
+        .iter()
+        .map(|(.., answer)| answer)
+        .filter(|answer| !answer.done);
+    let others: Vec<(u16, &str)> = others.map(|answer| (answer.status, answer.kind())).collect();
+    assert!(
+        whole >= 40,
+        "{whole} of 60 answers were whole, the others: {others:?}"
+    );
     let of = |key: &str| {
         history
             .iter()
