A host that stops moves no stream for its silence

Ruled out: the grace period (five seconds were left) and the runner (it was at work until it was cut).

Change: while a host stops, silence does not end a run; it goes on elsewhere when the runner itself breaks off.

--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -94,7 +94,7 @@
             return Err(Halt::Failed(Fault::Broken));
         }
         let mut run = Run::new(opened, None);
-        match run.next(self.job, self.forwarder.shared.now()).await {
+        match run.next(self.job, &self.forwarder.shared).await {
             Piece::Events(events) => Ok(Begun::Stream(Box::new(run), events)),
             Piece::End => Ok(Begun::Stream(Box::new(run), Events::default())),
             Piece::Broken => {
@@ -199,7 +199,7 @@
                 yield Ok(Frame::data(first.bytes));
             }
             loop {
-                match run.next(&job, self.shared.now()).await {
+                match run.next(&job, &self.shared).await {
                     Piece::Events(events) => {
                         trail.events += events.ids.len();
                         yield Ok(Frame::data(events.bytes));
--- a/crates/entry/src/gate/stream/run.rs
+++ b/crates/entry/src/gate/stream/run.rs
@@ -5,9 +5,9 @@
 use http_body_util::BodyExt;
 use hyper::header::CONTENT_LENGTH;
 use radishstair_core::gate::fleet::Sign;
-use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
+use super::super::Shared;
 use super::super::events::{Cutter, Events};
 use super::super::forward::{Forwarder, Opened};
 use super::super::job::Job;
@@ -61,13 +61,19 @@
     /// elsewhere: a runner behind a cut sends no reset, and probes take seconds
     /// to show it. A silence after which another runner would not help, or that
     /// no other may end, is waited out.
-    pub async fn next(&mut self, job: &Job, now: Moment) -> Piece {
-        let left = job.left(now).unwrap_or(FOREVER);
-        let patience = self.patience(job).unwrap_or(FOREVER);
-        match timeout(left.min(patience), self.events()).await {
-            Ok(piece) => piece,
-            Err(_) if patience < left => Piece::Broken,
-            Err(_) => Piece::Over,
+    ///
+    /// A host that is told to stop waits for all: a stream that it moved could find no other
+    /// runner, and a stop must cut nobody whose runner is only slow.
+    pub async fn next(&mut self, job: &Job, shared: &Shared) -> Piece {
+        loop {
+            let left = job.left(shared.now()).unwrap_or(FOREVER);
+            let patience = self.patience(job).unwrap_or(FOREVER);
+            match timeout(left.min(patience), self.events()).await {
+                Ok(piece) => return piece,
+                Err(_) if patience >= left => return Piece::Over,
+                Err(_) if shared.is_stopping() => {}
+                Err(_) => return Piece::Broken,
+            }
         }
     }
 
