--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -18,7 +18,6 @@
 use radishstair_core::kernel::{Event, Reply};
 use radishstair_core::once::{End, Key, Verdict};
 use radishstair_core::peer::{Forward, Forwarded};
-use radishstair_core::repeat::{Fault, Rule, Tries};
 use radishstair_core::runner;
 use radishstair_core::ticket::Ticket;
 use radishstair_core::usage::Item;
@@ -28,27 +27,24 @@
 use crate::handle::Handle;
 use crate::metrics::Class;
 use crate::peers::links::Links;
-use crate::upstream::course::{self, Course, Stop};
+use crate::upstream::course;
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, Outgoing, leaves};
 
 mod answer;
 mod guard;
+mod plain;
 
 use answer::{from_owner, kept, replay, response, to_peer};
 use guard::{Running, Waiting};
+use plain::Plain;
 
-/// Runners tried for a call that may be repeated, or that was refused.
-const TRIES: u32 = 4;
 /// Longest wait for a runner's answer.
 const ANSWER: Duration = Duration::from_secs(30);
 /// Longest wait for the owner of a call that was passed on.
 const FORWARD: Duration = Duration::from_secs(40);
 /// Longest wait for another copy of the same call.
 const COPY: Duration = Duration::from_secs(35);
-/// When to come back after no runner could be reached: by then the list of runners has
-/// lost those that are gone.
-const NO_RUNNER: Duration = Duration::from_secs(2);
 /// Carries a fresh ticket with a refusal that closed the former key.
 const NEXT_KEY: &str = "next-idempotency-key";
 
@@ -82,76 +78,6 @@
     body: Bytes,
 }
 
-/// A call that goes from runner to runner until one answers it whole.
-struct Plain<'a> {
-    caller: &'a Caller,
-    job: &'a Job,
-    rule: Rule,
-    tries: Tries<runner::Key>,
-    /// How the last attempt ended.
-    last: Refusal,
-}
-
-impl<'a> Plain<'a> {
-    fn new(caller: &'a Caller, job: &'a Job, once: bool) -> Self {
-        let rule = Rule {
-            once,
-            attempts: TRIES,
-            unreachable: TRIES,
-        };
-        Self {
-            caller,
-            job,
-            rule,
-            tries: Tries::default(),
-            last: Kind::NoRunner.into(),
-        }
-    }
-}
-
-impl Course for Plain<'_> {
-    type Place = Start;
-    type Answer = Answered;
-    type End = Refusal;
-
-    async fn place(&mut self) -> Result<Start, Refusal> {
-        let start = self.caller.seek(self.job, self.tries.tried()).await;
-        let start = start.map_err(|refusal| self.tries.refuse(refusal))?;
-        self.tries.choose(start.runner);
-        Ok(start)
-    }
-
-    async fn attempt(&mut self, start: Start) -> Result<Answered, Stop<Refusal>> {
-        self.tries.send();
-        let answered = self.caller.run(self.job, &start, self.rule.once).await;
-        answered.map_err(|(failure, refusal)| {
-            self.last = refusal;
-            if failure == Failure::NotSent {
-                self.tries.unsend();
-                self.last.after = Some(NO_RUNNER);
-            }
-            Stop::Failed(failure.into())
-        })
-    }
-
-    fn fail(&mut self, fault: Fault) -> Option<Refusal> {
-        let bar = self.tries.fail(&self.rule, fault, false, || true)?;
-        tracing::info!(
-            event = "not-repeated",
-            class = self.job.route.class,
-            reason = bar.name()
-        );
-        Some(match self.rule.once {
-            true => self.last.clone(),
-            // Idempotent: whatever reached a runner may be repeated.
-            false => Refusal {
-                repeat: Repeat::NewKey,
-                ..self.last.clone()
-            },
-        })
-    }
-}
-
 impl Caller {
     /// Serves one call.
     ///
--- /dev/null
+++ b/crates/entry/src/front/call/plain.rs
@@ -0,0 +1,90 @@
+//! A plain call's way over runners.
+
+use std::time::Duration;
+
+use radishstair_core::dispatch::Start;
+use radishstair_core::error::{Kind, Refusal, Repeat};
+use radishstair_core::repeat::{Fault, Rule, Tries};
+use radishstair_core::runner;
+
+use super::{Answered, Caller, Job};
+use crate::upstream::Failure;
+use crate::upstream::course::{Course, Stop};
+
+/// Runners tried for a call that may be repeated, or that was refused.
+const TRIES: u32 = 4;
+/// When to come back after no runner could be reached: by then the list of runners has
+/// lost those that are gone.
+const NO_RUNNER: Duration = Duration::from_secs(2);
+
+/// A call that goes from runner to runner until one answers it whole.
+pub(super) struct Plain<'a> {
+    caller: &'a Caller,
+    job: &'a Job,
+    rule: Rule,
+    /// What it has tried.
+    pub tries: Tries<runner::Key>,
+    /// How the last attempt ended.
+    last: Refusal,
+}
+
+impl<'a> Plain<'a> {
+    /// A call that has tried nothing yet; `once` if it may run at most once.
+    pub fn new(caller: &'a Caller, job: &'a Job, once: bool) -> Self {
+        let rule = Rule {
+            once,
+            attempts: TRIES,
+            unreachable: TRIES,
+        };
+        Self {
+            caller,
+            job,
+            rule,
+            tries: Tries::default(),
+            last: Kind::NoRunner.into(),
+        }
+    }
+}
+
+impl Course for Plain<'_> {
+    type Place = Start;
+    type Answer = Answered;
+    type End = Refusal;
+
+    async fn place(&mut self) -> Result<Start, Refusal> {
+        let start = self.caller.seek(self.job, self.tries.tried()).await;
+        let start = start.map_err(|refusal| self.tries.refuse(refusal))?;
+        self.tries.choose(start.runner);
+        Ok(start)
+    }
+
+    async fn attempt(&mut self, start: Start) -> Result<Answered, Stop<Refusal>> {
+        self.tries.send();
+        let answered = self.caller.run(self.job, &start, self.rule.once).await;
+        answered.map_err(|(failure, refusal)| {
+            self.last = refusal;
+            if failure == Failure::NotSent {
+                self.tries.unsend();
+                self.last.after = Some(NO_RUNNER);
+            }
+            Stop::Failed(failure.into())
+        })
+    }
+
+    fn fail(&mut self, fault: Fault) -> Option<Refusal> {
+        let bar = self.tries.fail(&self.rule, fault, false, || true)?;
+        tracing::info!(
+            event = "not-repeated",
+            class = self.job.route.class,
+            reason = bar.name()
+        );
+        Some(match self.rule.once {
+            true => self.last.clone(),
+            // Idempotent: whatever reached a runner may be repeated.
+            false => Refusal {
+                repeat: Repeat::NewKey,
+                ..self.last.clone()
+            },
+        })
+    }
+}
