A caller that is told that it has not run comes back, in the test of concurrent callers

Cause of the listed failure: traced with 20 busy processes beside the test alone (1 of 8 runs failed, 35 of 60 whole). The message that was added then shows it: besides answers cut by the faults and connections lost with the killed host, every other one is a 503 that says "not run": overloaded (a slow machine foretells waits past the target of a second) and stale-configuration (the host that has just started). Both are what the product promises; the test's callers did not heed the time that they were told.

Ruled out: answers that are wrong or cut without a cause; none was seen.

Change: callers come back at the time told, with the promise's token, for at most 15 s. The bound of 40 whole answers stands, and a new one is added: nobody is still refused at the end.

--- a/tests/suite/duties_live.rs
+++ b/tests/suite/duties_live.rs
@@ -1,11 +1,12 @@
 //! Duties and usage with the real programs, and callers' answers as a history.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use radishstair_core::config::change::{Op, Section};
 use radishstair_core::id::digest;
-use radishstair_load::http::Caller;
+use radishstair_load::http::{Answer, Caller};
 use radishstair_standin::model;
 use serde_json::json;
 
@@ -138,10 +139,33 @@
     }
 }
 
+/// Longest time for which a refused caller comes back.
+const COMES_BACK: Duration = Duration::from_secs(15);
+
+/// Makes a chat; while the answer is that it has not run, again at the time told.
+fn chat_until_taken(caller: &Caller, entry: SocketAddr, body: &serde_json::Value) -> Answer {
+    let until = Instant::now() + COMES_BACK;
+    let mut caller = caller.clone();
+    loop {
+        let answer = caller.chat(entry, "chat", body);
+        let after = answer.body["error"]["retry_after_ms"].as_u64();
+        let again = after.map(|ms| Instant::now() + Duration::from_millis(ms));
+        let Some(again) = again.filter(|again| answer.ran() == "not-run" && *again < until) else {
+            return answer;
+        };
+        if let Some(token) = &answer.come_back {
+            caller = caller.come_back(token);
+        }
+        std::thread::sleep(again.saturating_duration_since(Instant::now()));
+    }
+}
+
 /// Two customers call at once through every host while engines break streams,
 /// cross answers and slow down, and one host is killed and comes back. Every
 /// answer that looks whole is the caller's own and complete; whatever else came
-/// has an error. What was counted is counted under the right customer.
+/// has an error. What was counted is counted under the right customer. On a slow
+/// machine a host refuses what would be late, and one that has just started refuses
+/// until it knows the configuration; those callers come back when they were told to.
 #[test]
 fn concurrent_callers_get_their_own_answers() {
     let mut site = site().start();
@@ -149,7 +173,7 @@
         &site.addresses.engines,
         &json!({ "cut_at": 4, "cuts": 6, "cross": 4 }),
     );
-    let history: Vec<(&str, String, u32, radishstair_load::http::Answer)> = std::thread::scope(|scope| {
+    let history: Vec<(&str, String, u32, Answer)> = std::thread::scope(|scope| {
         let site = &mut site;
         let addresses = site.addresses.entries.clone();
         let tasks: Vec<_> = (0..60_u32)
@@ -164,7 +188,8 @@
                         .as_str()
                         .unwrap_or_default()
                         .to_string();
-                    (key, prompt, tokens, Caller::new(key).chat(entry, "chat", &body))
+                    let answer = chat_until_taken(&Caller::new(key), entry, &body);
+                    (key, prompt, tokens, answer)
                 })
             })
             .collect();
@@ -194,6 +219,11 @@
         .map(|(.., answer)| answer)
         .filter(|answer| !answer.done);
     let others: Vec<(u16, &str)> = others.map(|answer| (answer.status, answer.kind())).collect();
+    let refused = others.iter().filter(|(status, _)| *status == 503).count();
+    assert_eq!(
+        refused, 0,
+        "refused whenever they came back, of the others: {others:?}"
+    );
     assert!(
         whole >= 40,
         "{whole} of 60 answers were whole, the others: {others:?}"
