--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -4,9 +4,9 @@
 //! the runners, how old its proof of both is, and what it may still spend on
 //! repeats. The shell asks it under a lock, for microseconds at a time.
 
-use std::time::Duration;
-
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::error::{Kind, Refusal};
 use crate::id::Incarnation;
@@ -14,10 +14,13 @@
 
 pub mod budget;
 pub mod civil;
+pub mod fit;
 pub mod fleet;
 pub mod load;
 pub mod memory;
 pub mod mirror;
+pub mod pace;
+pub mod parting;
 pub mod place;
 pub mod proof;
 pub mod report;
@@ -27,10 +30,12 @@
 pub mod tally;
 
 use budget::Budgets;
-use fleet::{Fleet, Key};
-use load::{Meter, News, Peers, Reading};
+use fleet::{Fleet, Key, Listed};
+use load::{Flow, Meter, News, Peers, Reading};
 use memory::Memory;
-use place::{Choice, Demand};
+use pace::{Outlook, Paces};
+use parting::Parting;
+use place::{Choice, Demand, Known};
 use proof::Proof;
 use route::{Route, Table};
 use tally::{Ledger, Tally};
@@ -80,6 +85,9 @@
 /// Most places told at once.
 const READINGS: usize = 256;
 
+/// Multiple of the usual time past which a runner counts as a straggler.
+const STRAGGLER: f64 = 1.6;
+
 /// Least urgent rank: engines know ten.
 pub const LAST_RANK: u8 = 9;
 
@@ -143,6 +151,10 @@
     pub memory: Memory,
     /// What other hosts have on runners.
     pub peers: Peers,
+    /// How fast runners are.
+    pub paces: Paces,
+    /// How the runners of each service are divided, by its name.
+    partings: Vec<(String, Parting)>,
     /// What this host sends.
     pub meter: Meter,
     /// Where long beginnings went since the last news.
@@ -168,6 +180,8 @@
             fleet: Fleet::new(zone),
             memory: Memory::default(),
             peers: Peers::default(),
+            paces: Paces::default(),
+            partings: Vec::new(),
             meter: Meter::default(),
             readings: Vec::new(),
             budgets: Budgets::default(),
@@ -286,11 +300,59 @@
         }
     }
 
+    /// Takes the whole list of runners, as read by a question that left at `sent`; the
+    /// addresses at which another process now listens.
+    pub fn list(&mut self, now: Moment, sent: Moment, items: Vec<Listed>) -> Vec<SocketAddr> {
+        let void = self.fleet.list(sent, items);
+        self.divide(now);
+        void
+    }
+
+    /// Divides the runners of each service with engines between long and short prompts.
+    fn divide(&mut self, now: Moment) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let engines = table.services().iter().filter(|service| service.engine.is_some());
+        for service in engines {
+            let flow = self.flow(now, &service.name);
+            let allowed = parting::allowed_pause(&table, &service.name);
+            let at = match self.find_parting(&service.name) {
+                Ok(at) => at,
+                Err(at) => {
+                    self.partings
+                        .insert(at, (service.name.clone(), Parting::default()));
+                    at
+                }
+            };
+            let parting = &mut self.partings[at].1;
+            parting.judge(self.paces.of(&service.name), allowed, flow.long, flow.rate);
+            parting::divide(self.fleet.runners_mut(), &service.name, parting);
+        }
+    }
+
+    fn find_parting(&self, service: &str) -> Result<usize, usize> {
+        self.partings
+            .binary_search_by(|(have, _)| have.as_str().cmp(service))
+    }
+
+    /// How the runners of a service are divided.
+    pub fn parting(&self, service: &str) -> Parting {
+        let found = self.find_parting(service);
+        found.map_or_else(|_| Parting::default(), |at| self.partings[at].1)
+    }
+
     /// Chooses a runner and counts the request there.
     pub fn place(&mut self, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
-        let choice = place::choose(&self.fleet, &self.memory, now, demand, tried)?;
+        let known = Known {
+            fleet: &self.fleet,
+            memory: &self.memory,
+            pace: self.paces.of(&demand.service),
+            parting: &self.parting(&demand.service),
+        };
+        let choice = place::choose(known, now, demand, tried)?;
         self.fleet.begin(choice.key, choice.work, demand.held());
-        self.meter.add(now, &demand.service, choice.work);
+        self.meter.add(now, &demand.service, choice.work, choice.is_long);
         for (id, tokens) in demand.beginnings() {
             self.memory.note(now, id, choice.key);
             if tokens >= TOLD {
@@ -300,6 +362,39 @@
         Some(choice)
     }
 
+    /// A request's first event came `took` after it was sent.
+    ///
+    /// A straggler tells nothing of the others, so it does not slow the common pace down.
+    pub fn first_event(&mut self, key: Key, outlook: &Outlook, took: Duration) {
+        let Some(runner) = self.fleet.learn(key) else {
+            return;
+        };
+        let service = runner.listed.service.clone();
+        let pace = self.paces.learn(&service);
+        runner.compare(took, pace.expect(outlook));
+        let lag = runner.lag;
+        if lag < STRAGGLER * self.fleet.usual_lag(&service) {
+            pace.learn_first(outlook, took);
+        }
+    }
+
+    /// A stream's event came from a runner, `pause` after the one before.
+    pub fn event(&mut self, key: Key, pause: Duration) {
+        let Some(runner) = self.fleet.get(key) else {
+            return;
+        };
+        let reading = runner.reads(self.parting(&runner.listed.service).long);
+        let pace = self.paces.learn(&runner.listed.service);
+        pace.learn_pause(pause, runner.load(), reading);
+    }
+
+    /// A request that read a prompt has left its runner after `stay`.
+    pub fn left(&mut self, key: Key, stay: Duration) {
+        if let Some(runner) = self.fleet.get(key) {
+            self.paces.learn(&runner.listed.service).learn_stay(stay);
+        }
+    }
+
     /// Keeps in mind to tell the others where a subject is read.
     fn tell(&mut self, subject: u64, key: Key) {
         let Some(runner) = self.fleet.get(key).map(|runner| runner.hash) else {
@@ -319,15 +414,12 @@
         }
     }
 
-    /// Work that all hosts send to a service, in prompt tokens a second.
-    pub fn flow(&self, now: Moment, service: &str) -> u64 {
-        let id = crate::id::digest(service.as_bytes());
+    /// Work that all hosts send to a service.
+    pub fn flow(&self, now: Moment, service: &str) -> Flow {
+        let others = self.peers.flow(service);
         let own = self.meter.flows(now);
-        let own = own
-            .iter()
-            .find(|flow| flow.service == id)
-            .map_or(0, |flow| flow.rate);
-        own + self.peers.flow(service)
+        let own = own.iter().find(|flow| flow.service == others.service);
+        own.map_or(others, |own| others.and(own))
     }
 
     /// Takes what another host has on runners.
--- /dev/null
+++ b/crates/core/src/gate/fit.rs
@@ -0,0 +1,87 @@
+//! A straight line through noisy samples, by least squares.
+//!
+//! Newer samples weigh more. Until there are enough, and in directions in which the
+//! samples do not differ, the figures assumed at the start hold.
+
+/// Samples over which the weight of one falls to a third.
+const MEMORY: f64 = 250.0;
+/// Most by which one sample may differ from what was expected, as a part of it: a request
+/// that met a queue nobody knew of says little of its runner.
+const STRAY: f64 = 1.0;
+
+/// Coefficients of `N` features.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fit<const N: usize> {
+    assumed: [f64; N],
+    /// Weight of what is assumed, as that of so many samples in which the feature is 1.
+    certainty: [f64; N],
+    squares: [[f64; N]; N],
+    products: [f64; N],
+    coefficients: [f64; N],
+}
+
+impl<const N: usize> Fit<N> {
+    /// A line of which only the assumed coefficients are known.
+    pub fn new(assumed: [f64; N], certainty: [f64; N]) -> Self {
+        Self {
+            assumed,
+            certainty,
+            squares: [[0.0; N]; N],
+            products: [0.0; N],
+            coefficients: assumed,
+        }
+    }
+
+    /// Coefficient of a feature; never negative.
+    pub fn coefficient(&self, feature: usize) -> f64 {
+        self.coefficients[feature]
+    }
+
+    /// What is expected where the features have these values.
+    pub fn expect(&self, features: &[f64; N]) -> f64 {
+        let terms = self.coefficients.iter().zip(features);
+        terms.map(|(coefficient, value)| coefficient * value).sum()
+    }
+
+    /// Takes in a sample; `weight` is 1 for one that is as good as any.
+    pub fn learn(&mut self, features: &[f64; N], value: f64, weight: f64) {
+        let expected = self.expect(features);
+        let stray = expected.abs() * STRAY;
+        let value = value.clamp(expected - stray, expected + stray);
+        let kept = 1.0 - 1.0 / MEMORY;
+        for row in 0..N {
+            for column in 0..N {
+                let square = &mut self.squares[row][column];
+                *square = *square * kept + weight * features[row] * features[column];
+            }
+            let product = &mut self.products[row];
+            *product = *product * kept + weight * features[row] * value;
+        }
+        self.solve();
+    }
+
+    /// Solves the normal equations by elimination; what is assumed makes them regular.
+    fn solve(&mut self) {
+        let mut left = self.squares;
+        let mut right = self.products;
+        for at in 0..N {
+            left[at][at] += self.certainty[at];
+            right[at] += self.certainty[at] * self.assumed[at];
+        }
+        for pivot in 0..N {
+            for row in pivot + 1..N {
+                let factor = left[row][pivot] / left[pivot][pivot];
+                let above = left[pivot];
+                for (value, above) in left[row].iter_mut().zip(above).skip(pivot) {
+                    *value -= factor * above;
+                }
+                right[row] -= factor * right[pivot];
+            }
+        }
+        for row in (0..N).rev() {
+            let known = (row + 1..N).map(|column| left[row][column] * self.coefficients[column]);
+            let rest = right[row] - known.sum::<f64>();
+            self.coefficients[row] = (rest / left[row][row]).max(0.0);
+        }
+    }
+}
--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use super::load::Row;
-use super::memory::Place;
-use super::place;
+use super::pace::ms;
 use crate::id::digest;
 use crate::time::Moment;
 
@@ -39,6 +38,10 @@
 /// Time without a word from a runner after which the path to it is looked at: on the
 /// users' calm days one long request in twenty waits longer for its answer.
 const DOUBT: Duration = Duration::from_millis(800);
+/// Weight of the newest answer in how far a runner lags behind, and bounds of one answer.
+const LAG_NEWEST: f64 = 0.1;
+const LAG_LEAST: f64 = 0.3;
+const LAG_MOST: f64 = 6.0;
 /// Rest of a runner that said it was full.
 const FULL_REST: Duration = Duration::from_millis(150);
 
@@ -154,6 +157,8 @@
         /// Part of its last answers to this host that were failures, newest first in
         /// weight.
         pub failing: f64,
+        /// How much longer than others of its service it takes; 1 for as long.
+        pub lag: f64,
         /// Kept for long prompts, so that these do not delay short streams.
         pub long: bool,
         /// Idle connection that was used last, and how long the runner keeps it.
@@ -196,9 +201,22 @@
         self.own.running + self.others.running
     }
 
-    /// Work that it has yet to read, in prompt tokens, as far as this host knows.
-    pub fn backlog(&self) -> u64 {
-        self.own.work + self.others.work
+    /// Time that it has yet to read, as far as this host knows, at the usual pace.
+    pub fn backlog(&self) -> Duration {
+        Duration::from_micros(self.own.work + self.others.work)
+    }
+
+    /// Whether it has yet to read that much for this host.
+    pub fn reads(&self, least: Duration) -> bool {
+        Duration::from_micros(self.own.work) >= least
+    }
+
+    /// Takes in how long it took for something, and how long is usual.
+    ///
+    /// A slow engine says that it is well, and its queue looks as short as the others'.
+    pub fn compare(&mut self, took: Duration, usual: Duration) {
+        let ratio = ms(took) / ms(usual).max(1.0);
+        self.lag += LAG_NEWEST * (ratio.clamp(LAG_LEAST, LAG_MOST) - self.lag);
     }
 
     /// Tokens in its memory when all that runs there has ended, as far as this
@@ -220,6 +238,8 @@
     back: Option<Moment>,
     /// Zones that cannot be reached, and until when they rest.
     cut: Vec<(String, Moment)>,
+    /// Zones of other hosts, and when they go quiet unless one is heard again.
+    quiet: Vec<(String, Moment)>,
 }
 
 impl Fleet {
@@ -233,6 +253,7 @@
             listed: None,
             back: None,
             cut: Vec::new(),
+            quiet: Vec::new(),
         }
     }
 
@@ -262,9 +283,7 @@
                 runner.present = false;
             }
         }
-        let void = items.into_iter().flat_map(|item| self.take(sent, item)).collect();
-        place::part(&mut self.arena);
-        void
+        items.into_iter().flat_map(|item| self.take(sent, item)).collect()
     }
 
     fn take(&mut self, sent: Moment, item: Listed) -> Vec<SocketAddr> {
@@ -290,6 +309,7 @@
         runner.rest = Moment::default();
         runner.failures = 0;
         runner.failing = 0.0;
+        runner.lag = 1.0;
         runner.since = sent;
         vec![former, runner.listed.address]
     }
@@ -306,6 +326,7 @@
             own: Row::default(),
             others: Row::default(),
             failing: 0.0,
+            lag: 1.0,
             long: false,
             idle: None,
             present: true,
@@ -354,10 +375,31 @@
             .filter(move |(_, runner)| own(runner) && (!any || near(runner)))
     }
 
-    /// Whether a runner still keeps what it has read.
-    pub fn keeps(&self, now: Moment, place: &Place) -> bool {
-        let runner = self.get(place.key);
-        runner.is_some_and(|runner| runner.is_open(now) && runner.since <= place.since)
+    /// Whether a runner still keeps what it first read at `since`.
+    pub fn keeps(&self, now: Moment, key: Key, since: Moment) -> bool {
+        let runner = self.get(key);
+        runner.is_some_and(|runner| runner.is_open(now) && runner.since <= since)
+    }
+
+    /// A runner by key, to learn of it.
+    pub fn learn(&mut self, key: Key) -> Option<&mut Runner> {
+        self.arena.get_mut(key.index())
+    }
+
+    /// All runners, to divide them.
+    pub fn runners_mut(&mut self) -> &mut [Runner] {
+        &mut self.arena
+    }
+
+    /// Middle of how far the runners of a service lag behind.
+    pub fn usual_lag(&self, service: &str) -> f64 {
+        let own = self
+            .arena
+            .iter()
+            .filter(|runner| runner.is_listed() && runner.listed.service == service);
+        let mut lags: Vec<f64> = own.map(|runner| runner.lag).collect();
+        lags.sort_by(f64::total_cmp);
+        lags.get(lags.len() / 2).copied().unwrap_or(1.0)
     }
 
     /// Whether a zone seems cut off from this host.
@@ -367,6 +409,25 @@
             .any(|(have, until)| have == zone && !now.reached(*until))
     }
 
+    /// A host of a zone was heard; the next word is due within `limit`.
+    pub fn hear_zone(&mut self, now: Moment, zone: &str, limit: Duration) {
+        let until = now + limit;
+        match self.quiet.binary_search_by(|(have, _)| have.as_str().cmp(zone)) {
+            Ok(at) => self.quiet[at].1 = until,
+            Err(at) => self.quiet.insert(at, (zone.to_string(), until)),
+        }
+    }
+
+    /// Whether nothing comes from the hosts of another zone any more.
+    ///
+    /// A cut gives no sign: each request that crosses it costs the time-out of a connection,
+    /// and each copy that a runner asks for across it a part of a second. The silence of a
+    /// zone's hosts shows it sooner than either. It is no proof, so it only counts as cost.
+    pub fn is_quiet(&self, now: Moment, zone: &str) -> bool {
+        let found = self.quiet.binary_search_by(|(have, _)| have.as_str().cmp(zone));
+        zone != self.zone && found.is_ok_and(|at| now.reached(self.quiet[at].1))
+    }
+
     /// Takes note of a runner of another zone that could not be reached.
     ///
     /// When a zone is cut off, each of its runners would cost one request the
@@ -394,7 +455,7 @@
         }
     }
 
-    /// A request goes to a runner: `work` to read, `held` in its memory.
+    /// A request goes to a runner: `work` microseconds to read, `held` tokens in its memory.
     pub fn begin(&mut self, key: Key, work: u64, held: u64) {
         if let Some(runner) = self.arena.get_mut(key.index()) {
             runner.own.running += 1;
--- a/crates/core/src/gate/load.rs
+++ b/crates/core/src/gate/load.rs
@@ -19,6 +19,8 @@
 const FEW: u32 = 10;
 /// Beats between two usage records.
 pub const RECORD_EVERY: u64 = 5;
+/// Beats after which a zone from whose hosts nothing comes may be cut off.
+const QUIET: u32 = 3;
 /// Beats after which a silent host is forgotten.
 const SILENT: u32 = 8;
 
@@ -31,8 +33,8 @@
     /// Requests that run or wait there.
     #[prost(uint32, tag = "2")]
     pub running: u32,
-    /// Work that it has yet to read, in prompt tokens.
-    #[prost(uint64, tag = "3")]
+    /// Time that it has yet to read, in microseconds.
+    #[prost(uint64, tag = "5")]
     pub work: u64,
     /// Tokens that its requests hold in memory at their end.
     #[prost(uint64, tag = "4")]
@@ -45,9 +47,23 @@
     /// Hash of the service's name.
     #[prost(fixed64, tag = "1")]
     pub service: u64,
-    /// Work of the last seconds, in prompt tokens a second.
-    #[prost(uint64, tag = "2")]
+    /// Reading time of the last seconds, in microseconds a second.
+    #[prost(uint64, tag = "3")]
     pub rate: u64,
+    /// Part of it for long prompts.
+    #[prost(uint64, tag = "4")]
+    pub long: u64,
+}
+
+impl Flow {
+    /// Both together.
+    pub fn and(self, other: &Flow) -> Self {
+        Self {
+            service: self.service,
+            rate: self.rate + other.rate,
+            long: self.long + other.long,
+        }
+    }
 }
 
 /// A runner that reads the beginning of prompts about a subject.
@@ -82,6 +98,9 @@
     /// Long beginnings that it has sent since its last news, and where.
     #[prost(message, repeated, tag = "7")]
     pub readings: Vec<Reading>,
+    /// Availability zone of the sender.
+    #[prost(string, tag = "8")]
+    pub zone: String,
     /// Says only that the sender has just read something new in the store.
     #[prost(bool, tag = "6")]
     pub nudge: bool,
@@ -110,6 +129,7 @@
         if news.incarnation == me.0 {
             return;
         }
+        fleet.hear_zone(now, &news.zone, beat(hosts) * QUIET);
         let found = self
             .peers
             .binary_search_by_key(&news.incarnation, |peer| peer.news.incarnation);
@@ -122,14 +142,19 @@
         self.sum(fleet);
     }
 
-    /// Work that the other hosts send to a service, in prompt tokens a second.
-    pub fn flow(&self, service: &str) -> u64 {
+    /// Work that the other hosts send to a service.
+    pub fn flow(&self, service: &str) -> Flow {
         let service = digest(service.as_bytes());
         let flows = self.peers.iter().flat_map(|peer| &peer.news.flows);
-        flows
-            .filter(|flow| flow.service == service)
-            .map(|flow| flow.rate)
-            .sum()
+        let own = flows.filter(|flow| flow.service == service);
+        own.fold(
+            Flow {
+                service,
+                rate: 0,
+                long: 0,
+            },
+            |sum, flow| sum.and(flow),
+        )
     }
 
     /// Forgets hosts that fell silent.
@@ -174,6 +199,7 @@
         flows,
         record: Vec::new(),
         readings: Vec::new(),
+        zone: fleet.zone.clone(),
         nudge: false,
     }
 }
@@ -186,12 +212,20 @@
 /// What this host sends to each service.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
-    services: Vec<(u64, Vec<(u64, u64)>)>,
+    services: Vec<(u64, Vec<Sum>)>,
+}
+
+/// Work of one part of the span, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    part: u64,
+    all: u64,
+    long: u64,
 }
 
 impl Meter {
-    /// Counts work that was sent.
-    pub fn add(&mut self, now: Moment, service: &str, work: u64) {
+    /// Counts work that was sent, in microseconds of reading.
+    pub fn add(&mut self, now: Moment, service: &str, work: u64, is_long: bool) {
         let service = digest(service.as_bytes());
         let at = match self.services.binary_search_by_key(&service, |(have, _)| *have) {
             Ok(at) => at,
@@ -201,24 +235,31 @@
             }
         };
         let part = part(now);
-        let parts = &mut self.services[at].1;
-        parts.retain(|(have, _)| have + PARTS > part);
-        match parts.last_mut() {
-            Some((have, sum)) if *have == part => *sum += work,
-            _ => parts.push((part, work)),
+        let sums = &mut self.services[at].1;
+        sums.retain(|sum| sum.part + PARTS > part);
+        if sums.last().is_none_or(|sum| sum.part != part) {
+            sums.push(Sum {
+                part,
+                ..Sum::default()
+            });
+        }
+        if let Some(sum) = sums.last_mut() {
+            sum.all += work;
+            sum.long += if is_long { work } else { 0 };
         }
     }
 
     /// Work a second by service.
     pub fn flows(&self, now: Moment) -> Vec<Flow> {
         let oldest = (part(now) + 1).saturating_sub(PARTS);
-        let rate = |parts: &[(u64, u64)]| {
-            let young = parts.iter().filter(|(have, _)| *have >= oldest);
-            young.map(|(_, work)| work).sum::<u64>() * 1_000 / SPAN_MS
-        };
-        let flows = self.services.iter().map(|(service, parts)| Flow {
-            service: *service,
-            rate: rate(parts),
+        let flows = self.services.iter().map(|(service, sums)| {
+            let young = sums.iter().filter(|sum| sum.part >= oldest);
+            let (all, long) = young.fold((0, 0), |(all, long), sum| (all + sum.all, long + sum.long));
+            Flow {
+                service: *service,
+                rate: all * 1_000 / SPAN_MS,
+                long: long * 1_000 / SPAN_MS,
+            }
         });
         flows.collect()
     }
--- /dev/null
+++ b/crates/core/src/gate/pace.rs
@@ -0,0 +1,218 @@
+//! How fast the runners of a service are, learnt from their answers.
+//!
+//! An engine reads a prompt before its first event, and writes the events of all its
+//! requests in turn. The time until the first event tells how fast it reads, how that
+//! slows down with the prompt's length, and what a runner in another zone adds. The pauses
+//! between events tell what requests beside a stream and prompts read meanwhile cost it.
+//!
+//! Before the first answers the figures of a middling engine are assumed, and soon
+//! outweighed. One pace stands for all runners of a service; how far a single one lags
+//! behind it is known of each runner. Each host learns for itself: it sees several answers a
+//! second, more than it needs.
+
+use std::time::Duration;
+
+use super::fit::Fit;
+use crate::id::digest;
+
+/// Assumed until answers tell: milliseconds until the first event of an empty prompt, for
+/// a thousand tokens, for a million pairs of tokens, for each request beside, and for the
+/// way to another zone.
+const FIRST: [f64; 5] = [40.0, 16.0, 0.4, 0.3, 2.0];
+/// How certain that is.
+const FIRST_CERTAINTY: [f64; 5] = [3.0, 20.0, 200.0, 200.0, 20.0];
+/// Assumed milliseconds between two events of a stream that is alone, and for each
+/// request beside it.
+const WRITING: [f64; 2] = [30.0, 1.0];
+const WRITING_CERTAINTY: [f64; 2] = [5.0, 500.0];
+/// Assumed stall of a stream beside which a long prompt is read, in milliseconds.
+const STALL: f64 = 250.0;
+/// Part of pauses beside a long prompt that are shorter than the stall that is told.
+const STALL_QUANTILE: f64 = 0.9;
+/// Part of the stall by which one pause moves it, and least stall that counts for that, in
+/// milliseconds.
+const STALL_STEP: f64 = 0.06;
+const STALL_LEAST: f64 = 20.0;
+/// Weight of the newest sample in an average.
+const NEWEST: f64 = 0.02;
+/// Least time for a thousand tokens; a runner whose prompts were all in memory seems to
+/// read at once.
+const READING_LEAST: f64 = 0.5;
+
+plain! {
+    /// What a request found at its runner, to compare its first event with.
+    #[derive(Copy, Default)]
+    pub struct Outlook {
+        /// Tokens of its prompt.
+        pub prompt: u64,
+        /// Tokens of it that the runner had in memory.
+        pub kept: u64,
+        /// Time that the runner had yet to read before.
+        pub backlog: Duration,
+        /// Requests that ran there.
+        pub beside: u32,
+        /// Whether it is in another zone.
+        pub far: bool,
+    }
+}
+
+impl Outlook {
+    fn features(&self) -> [f64; 5] {
+        let (tokens, pairs) = reading(self.prompt, self.kept);
+        let far = f64::from(u8::from(self.far));
+        [1.0, tokens, pairs, f64::from(self.beside), far]
+    }
+}
+
+/// Thousands of tokens to read, and millions of pairs of tokens to compare.
+fn reading(prompt: u64, kept: u64) -> (f64, f64) {
+    let kept = kept.min(prompt) as f64;
+    let prompt = prompt as f64;
+    let pairs = (prompt * prompt - kept * kept) / 2.0;
+    ((prompt - kept) / 1e3, pairs / 1e6)
+}
+
+/// How fast runners are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pace {
+    first: Fit<5>,
+    writing: Fit<2>,
+    /// Pause of a stream beside which a long prompt is read, in milliseconds.
+    stall: f64,
+    /// Average time that a request stays on its runner, in milliseconds.
+    stay: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            first: Fit::new(FIRST, FIRST_CERTAINTY),
+            writing: Fit::new(WRITING, WRITING_CERTAINTY),
+            stall: STALL,
+            stay: 1_000.0,
+        }
+    }
+}
+
+impl Pace {
+    /// Time to read a prompt of which the first `kept` tokens are in memory.
+    pub fn reading(&self, prompt: u64, kept: u64) -> Duration {
+        let (tokens, pairs) = reading(prompt, kept);
+        millis(tokens * self.for_thousand() + pairs * self.first.coefficient(2))
+    }
+
+    /// Milliseconds to read a thousand tokens of a short prompt.
+    pub fn for_thousand(&self) -> f64 {
+        self.first.coefficient(1).max(READING_LEAST)
+    }
+
+    /// Milliseconds that each request on a runner adds to the first event of another.
+    pub fn for_each_beside(&self) -> f64 {
+        self.first.coefficient(3)
+    }
+
+    /// Milliseconds that the way to another zone adds.
+    pub fn for_crossing(&self) -> f64 {
+        self.first.coefficient(4)
+    }
+
+    /// Pause between two events of a stream beside so many requests, while no prompt is read.
+    pub fn pause(&self, beside: f64) -> Duration {
+        millis(self.writing.expect(&[1.0, beside]))
+    }
+
+    /// Pause of a stream beside which a long prompt is read.
+    pub fn stall(&self) -> Duration {
+        millis(self.stall)
+    }
+
+    /// Time until the first event of an empty prompt on an idle runner.
+    pub fn first(&self) -> Duration {
+        millis(self.first.coefficient(0))
+    }
+
+    /// Time that a request stays on its runner.
+    pub fn stay(&self) -> Duration {
+        millis(self.stay)
+    }
+
+    /// Time until the first event.
+    pub fn expect(&self, outlook: &Outlook) -> Duration {
+        millis(self.first.expect(&outlook.features())) + outlook.backlog
+    }
+
+    /// A request's first event came after `took`.
+    pub fn learn_first(&mut self, outlook: &Outlook, took: Duration) {
+        let own = self.first.expect(&outlook.features());
+        let backlog = ms(outlook.backlog);
+        // What was waited for others is known less well than the request's own prompt.
+        let certain = own / (own + backlog).max(1.0);
+        let alone = ms(took) - backlog;
+        self.first
+            .learn(&outlook.features(), alone.max(0.0), certain * certain);
+    }
+
+    /// A stream's event came after `pause`; `reading` if its runner read a prompt all the while.
+    pub fn learn_pause(&mut self, pause: Duration, beside: u32, reading: bool) {
+        if !reading {
+            let features = [1.0, f64::from(beside)];
+            self.writing.learn(&features, ms(pause), 1.0);
+            return;
+        }
+        let step = STALL_STEP * self.stall.max(STALL_LEAST);
+        self.stall += match ms(pause) > self.stall {
+            true => step * STALL_QUANTILE,
+            false => -step * (1.0 - STALL_QUANTILE),
+        };
+    }
+
+    /// A request has left its runner after `stay`.
+    pub fn learn_stay(&mut self, stay: Duration) {
+        self.stay += NEWEST * (ms(stay) - self.stay);
+    }
+}
+
+/// Paces by service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Paces {
+    services: Vec<(u64, Pace)>,
+    unknown: Pace,
+}
+
+impl Paces {
+    /// Pace of a service's runners.
+    pub fn of(&self, service: &str) -> &Pace {
+        match self.find(service) {
+            Ok(at) => &self.services[at].1,
+            Err(_) => &self.unknown,
+        }
+    }
+
+    /// The same, to learn.
+    pub fn learn(&mut self, service: &str) -> &mut Pace {
+        let at = match self.find(service) {
+            Ok(at) => at,
+            Err(at) => {
+                let new = (digest(service.as_bytes()), Pace::default());
+                self.services.insert(at, new);
+                at
+            }
+        };
+        &mut self.services[at].1
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        let service = digest(service.as_bytes());
+        self.services.binary_search_by_key(&service, |(have, _)| *have)
+    }
+}
+
+/// A duration as milliseconds.
+pub fn ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e3
+}
+
+/// Milliseconds as a duration; none below zero.
+pub fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+}
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -1,74 +1,58 @@
 //! Which runner a request goes to.
 //!
-//! Each candidate gets a cost, counted in prompt tokens that an engine reads in
-//! the time that would be lost; the least cost wins. Four patterns are
-//! answered:
+//! Each candidate gets a cost in milliseconds: the time until its first event as runners of
+//! the service are known to take, and what others lose by it. The least cost wins. Five
+//! patterns are answered:
 //!
-//! - A long prompt is read in chunks between the tokens of all requests beside
-//!   it and makes short streams pause. A part of each zone's runners is kept for
-//!   long prompts, and crossing over costs what the crossing harms.
+//! - A long prompt makes short streams beside it pause. Where that harms them, crossing over
+//!   to a runner that is kept for the other kind costs what the crossing harms.
 //! - Requests about one subject share the beginnings of their prompts. What a runner has
-//!   read, as hosts tell each other, another one copies from its memory, which costs a
-//!   sixteenth of reading it again; so a subject spreads with its load. What none has
-//!   read goes to a home that all hosts compute alike (rendezvous hashing), and stays
-//!   there until it is read.
-//! - Some runners fail part of their requests while they say that they are well, and
-//!   are done with them sooner than sound ones, so that more requests went there. What
-//!   a host sees itself counts as cost.
+//!   read, as hosts tell each other, another one copies from its memory, which costs a part
+//!   of reading it again; so a subject spreads with its load. What none has read goes to a
+//!   home that all hosts of a zone compute alike (rendezvous hashing), and stays there until
+//!   it is read.
+//! - Some runners are slower than they look, or fail part of their requests while they say
+//!   that they are well. What a host sees itself counts as cost.
 //! - Many hosts choose at once from old news, so the work that was sent and not
 //!   yet read counts at once, not when a runner reports it.
+//! - Bytes between zones are paid for, and take time. A request leaves its zone when the
+//!   runners there would keep it waiting for longer than that is worth.
 
 use std::time::Duration;
 
 use super::fleet::{Fleet, Key, Runner};
 use super::memory::{Memory, Place};
+use super::pace::{Outlook, Pace, ms};
+use super::parting::{self, Parting};
 use crate::id::weight;
 use crate::time::Moment;
 
-/// Prompt tokens from which a prompt counts as long. On the users' two sites the
-/// classes lie on either side of it: means of 800 and 2,400 tokens below,
-/// 12,000 above.
-pub const LONG: u64 = 3_500;
-/// Part of a zone's runners that is kept for long prompts.
-const LONG_PART: f64 = 0.7;
-/// Tokens at which reading in the context of a prompt doubles its cost: both
-/// sites' engines read about 65 tokens a millisecond and spend 0.65 ms on a
-/// million pairs of tokens.
-const QUADRATIC: f64 = 48_000.0;
-/// Cost of a shared token that is read again, in tokens: the operators price a
-/// thousand of them like a fifth of a mean long request, which is late after
-/// 2.5 s, the time for 160,000 tokens.
+/// Times that reading a shared token again counts, beside the runner's own time: the
+/// streams beside it pause, and what it pushes out of memory is read again by others.
 const REREAD: f64 = 20.0;
-/// Cost of a shared token that is copied from a runner that has read it, in tokens: a
-/// copy of a thousand takes 1.2 ms, and the operators price it like the sixteenth part of
-/// reading them again.
-const COPY: f64 = 1.3;
+/// Part of the time to read a token that copying it from another runner counts.
+const COPY: f64 = 2.0;
 /// Time after which a beginning that was sent to a runner has surely been read there: a
-/// part for its turn in the batch, and one for each token.
+/// part for its turn in the batch, and a multiple of the time to read it.
 const READ: Duration = Duration::from_millis(50);
-const READ_EACH: Duration = Duration::from_micros(60);
-/// Cost of each request that runs on a runner already, in tokens: it slows the
-/// steps of the others by a few milliseconds over their life.
-const BESIDE: f64 = 300.0;
-/// Cost of a long prompt on a runner kept for short ones, in tokens (0.9 s),
-/// and for each request there that it makes pause.
-const CROSS_LONG: f64 = 60_000.0;
-const CROSS_LONG_EACH: f64 = 5_000.0;
-/// Cost of a short prompt on a runner kept for long ones, in tokens (0.4 s):
-/// about the pause that a long prompt beside it causes.
-const CROSS_SHORT: f64 = 25_000.0;
-
-/// Cost of a failure, in tokens, for a request that the runner is sure to fail: a
-/// mean long request is worth little after the time for as many.
-const FAILURE: f64 = 160_000.0;
-/// Part of failures from which a plain service's runner is taken last. One in seven
-/// look-ups fails at sound runners of the users' services; by chance a sound one is
-/// above this in one of thirty readings.
+const READ_TIMES: f64 = 4.0;
+/// Milliseconds that each request on a runner costs the others there.
+const BESIDE: f64 = 5.0;
+/// Milliseconds of waiting that a kilobyte between zones is worth.
+const FAR_EACH_KB: f64 = 6.0;
+/// Milliseconds of waiting that the way to a zone which may be cut off is worth: the
+/// time-out of a connection.
+const QUIET: f64 = 400.0;
+/// Bytes of an answer for each of its tokens: an event around a few of them.
+const ANSWER_BYTES: u64 = 30;
+/// Milliseconds of waiting that a failed request is worth.
+const FAILURE: f64 = 2_500.0;
+/// Part of failures from which a plain service's runner is taken last; by chance alone a
+/// runner that fails one request in seven is above it in one of thirty readings.
 const FAILS: f64 = 0.4;
-
-/// Cost of a new connection to a runner, in tokens: it takes a millisecond, and
-/// the operators price twenty-five of them like a short request.
-const CONNECTION: f64 = 2_500.0;
+/// Milliseconds of waiting that a new connection is worth: a runner takes a few hundred,
+/// from all hosts together.
+const CONNECTION: f64 = 40.0;
 
 plain! {
     /// A part of a prompt that requests may share.
@@ -94,6 +78,8 @@
         /// Parts of its prompt in order; the last one is its own where there
         /// are others before it.
         pub parts: Vec<Part>,
+        /// Bytes of the request itself.
+        pub bytes: u64,
         /// Whether its runner copies from others what it has not read of the prompt.
         pub copies: bool,
         /// Whether it may run at most once.
@@ -131,9 +117,10 @@
         self.shared_parts().iter().map(upto).collect()
     }
 
-    /// Whether it counts as long.
-    pub fn is_long(&self) -> bool {
-        self.prompt >= LONG
+    /// Milliseconds of waiting that its bytes between zones are worth.
+    fn far(&self) -> f64 {
+        let bytes = self.bytes + self.output * ANSWER_BYTES;
+        bytes as f64 / 1e3 * FAR_EACH_KB
     }
 
     /// Tokens that it holds in a runner's memory to its end.
@@ -148,8 +135,12 @@
     pub struct Choice {
         /// The runner.
         pub key: Key,
-        /// Work that the prompt is for it, in tokens.
+        /// Time that it takes to read the prompt, in microseconds.
         pub work: u64,
+        /// Whether the prompt counts as long.
+        pub is_long: bool,
+        /// What the request finds there.
+        pub outlook: Outlook,
         /// Runners that it was chosen among.
         pub among: u32,
         /// Runner that has read the beginning of the prompt, from which this one copies it.
@@ -157,70 +148,98 @@
     }
 }
 
-/// Divides each zone's runners of a service between long and short prompts,
-/// the same way on every host.
-pub fn part(runners: &mut [Runner]) {
-    let mut order: Vec<usize> = (0..runners.len()).filter(|at| runners[*at].is_listed()).collect();
-    let group = |runner: &Runner| (runner.listed.service.clone(), runner.listed.zone.clone());
-    order.sort_by_cached_key(|at| (group(&runners[*at]), runners[*at].hash));
-    let mut rest = order.as_slice();
-    while let Some(first) = rest.first() {
-        let key = group(&runners[*first]);
-        let size = rest.iter().take_while(|at| group(&runners[**at]) == key).count();
-        let (zone, tail) = rest.split_at(size);
-        // The last one of a zone serves both.
-        let long = ((size as f64 * LONG_PART).round() as usize).min(size - 1);
-        for (rank, at) in zone.iter().enumerate() {
-            runners[*at].long = rank < long;
-        }
-        rest = tail;
-    }
+/// What is known of a service's runners.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// All runners.
+    pub fleet: &'a Fleet,
+    /// What they have read.
+    pub memory: &'a Memory,
+    /// How fast those of the service are.
+    pub pace: &'a Pace,
+    /// How they are divided.
+    pub parting: &'a Parting,
 }
 
 /// Chooses a runner, other than those in `tried`.
-pub fn choose(fleet: &Fleet, memory: &Memory, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
-    let open: Vec<(Key, &Runner)> = fleet
+pub fn choose(known: Known<'_>, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
+    let open: Vec<(Key, &Runner)> = known
+        .fleet
         .open(now, &demand.service)
         .filter(|(key, _)| !tried.contains(key))
         .collect();
     let among = open.len() as u32;
     if demand.prompt == 0 {
-        let key = nearest(now, fleet, &open, demand)?;
+        let key = nearest(now, known.fleet, &open, demand)?;
         return Some(Choice {
             key,
             work: 0,
+            is_long: false,
+            outlook: Outlook::default(),
             among,
             source: None,
         });
     }
-    let read = Read::of(fleet, memory, now, demand);
+    let read = Read::of(known, now, demand);
     let shared = demand.shared();
-    let home = if read.is_whole(shared) {
-        None
-    } else {
-        home(&open, demand)
+    // By the whole prompt, so that requests of a kind go the same way whatever is kept of them.
+    let is_long = known.parting.is_long(known.pace.reading(demand.prompt, 0));
+    let home = match read.is_whole(shared) {
+        true => None,
+        false => home(known, &open, demand, is_long),
     };
+    let usual_lag = known.fleet.usual_lag(&demand.service);
     let candidates = open.iter().map(|(key, runner)| {
         let kept = read.kept(*key);
-        let known = kept.max(read.longest);
-        let work = work(demand.prompt, known);
-        let anew = if home == Some(*key) { 0 } else { shared - known };
-        let copied = known - kept;
-        let cost = cost(now, runner, demand, work) + COPY * copied as f64 + REREAD * anew as f64;
-        (cost, *key, work as u64)
+        let readable = kept.max(read.longest);
+        let work = known.pace.reading(demand.prompt, readable);
+        let anew = if home == Some(*key) { 0 } else { shared - readable };
+        let shares = COPY * (readable - kept) as f64 + REREAD * anew as f64;
+        let cost = shares / 1e3 * known.pace.for_thousand()
+            + waiting(known, runner, work) * runner.lag / usual_lag
+            + parting::crossing(known.parting, is_long, runner.long, f64::from(runner.load()))
+            + FAILURE * runner.failing
+            + connecting(now, runner, demand)
+            + way(known, now, runner, demand);
+        (cost, *key, *runner, work, readable)
     });
-    let least = candidates.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    let (_, key, runner, work, kept) = candidates.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Choice {
-        key: least.1,
-        work: least.2,
+        key,
+        work: work.as_micros() as u64,
+        is_long,
+        outlook: Outlook {
+            prompt: demand.prompt,
+            kept,
+            backlog: runner.backlog(),
+            beside: runner.load(),
+            far: runner.listed.zone != known.fleet.zone,
+        },
         among,
-        source: read.source_for(least.1),
+        source: read.source_for(known, now, key),
     })
 }
 
-/// Time after which a beginning that was sent to a runner has surely been read there.
-fn read_after(tokens: u64) -> Duration {
-    READ + READ_EACH * u32::try_from(tokens).unwrap_or(u32::MAX)
+/// Milliseconds that a request and those beside it wait on a runner, at the usual pace.
+fn waiting(known: Known<'_>, runner: &Runner, work: Duration) -> f64 {
+    let beside = f64::from(runner.load());
+    let queued = (runner.load() + 1).saturating_sub(runner.listed.slots);
+    let turn = ms(known.pace.stay()) / f64::from(runner.listed.slots.max(1));
+    ms(runner.backlog() + work) + (BESIDE + known.pace.for_each_beside()) * beside + turn * f64::from(queued)
+}
+
+/// Milliseconds that the way to a runner costs.
+fn way(known: Known<'_>, now: Moment, runner: &Runner, demand: &Demand) -> f64 {
+    let zone = &runner.listed.zone;
+    if *zone == known.fleet.zone {
+        return 0.0;
+    }
+    let quiet = if known.fleet.is_quiet(now, zone) {
+        QUIET
+    } else {
+        0.0
+    };
+    known.pace.for_crossing() + demand.far() + quiet
 }
 
 /// How much of a prompt's beginning runners have read.
@@ -234,7 +253,7 @@
 }
 
 impl Read {
-    fn of(fleet: &Fleet, memory: &Memory, now: Moment, demand: &Demand) -> Self {
+    fn of(known: Known<'_>, now: Moment, demand: &Demand) -> Self {
         let mut read = Self {
             runners: Vec::new(),
             longest: 0,
@@ -242,8 +261,10 @@
         };
         // The deepest part goes first, so that a runner's first entry is its longest.
         for (id, tokens) in demand.beginnings().into_iter().rev() {
-            let places = memory.places(now, id);
-            let here: Vec<&Place> = places.filter(|place| fleet.keeps(now, place)).collect();
+            let places = known.memory.places(now, id);
+            let here: Vec<&Place> = places
+                .filter(|place| known.fleet.keeps(now, place.key, place.since))
+                .collect();
             for place in &here {
                 if let Err(at) = read.find(place.key) {
                     read.runners.insert(at, (place.key, tokens));
@@ -252,7 +273,7 @@
             if demand.copies && read.sources.is_empty() {
                 let done = here
                     .iter()
-                    .filter(|place| now.since(place.since) >= read_after(tokens));
+                    .filter(|place| now.since(place.since) >= read_after(known.pace, tokens));
                 read.sources = done.map(|place| place.key).collect();
                 read.longest = if read.sources.is_empty() { 0 } else { tokens };
             }
@@ -266,8 +287,19 @@
     }
 
     /// Where a runner may copy what it does not have, or no longer has.
-    fn source_for(&self, key: Key) -> Option<Key> {
-        self.sources.iter().rev().find(|source| **source != key).copied()
+    ///
+    /// One of its own zone, if any has it: a copy that is asked for across a cut keeps the
+    /// request waiting for a part of a second. Another zone's only for what the runner lacks.
+    fn source_for(&self, known: Known<'_>, now: Moment, key: Key) -> Option<Key> {
+        let zone = |key: Key| known.fleet.get(key).map(|runner| runner.listed.zone.as_str());
+        let own = zone(key)?;
+        let others = self.sources.iter().rev().copied().filter(|source| *source != key);
+        if let Some(near) = others.clone().find(|source| zone(*source) == Some(own)) {
+            return Some(near);
+        }
+        let lacks = self.kept(key) < self.longest;
+        let reached = |source: &Key| zone(*source).is_some_and(|zone| !known.fleet.is_quiet(now, zone));
+        others.filter(|_| lacks).find(reached)
     }
 
     fn find(&self, key: Key) -> Result<usize, usize> {
@@ -279,38 +311,29 @@
     }
 }
 
-/// Work to read a prompt of which the first `kept` tokens are in memory.
-fn work(prompt: u64, kept: u64) -> f64 {
-    let whole = |tokens: u64| tokens as f64 * (1.0 + tokens as f64 / (2.0 * QUADRATIC));
-    whole(prompt) - whole(kept.min(prompt))
-}
-
-fn cost(now: Moment, runner: &Runner, demand: &Demand, work: f64) -> f64 {
-    let beside = f64::from(runner.load());
-    let crossing = match (demand.is_long(), runner.long) {
-        (true, false) => CROSS_LONG + CROSS_LONG_EACH * beside,
-        (false, true) => CROSS_SHORT,
-        _ => 0.0,
-    };
-    let failing = FAILURE * runner.failing;
-    runner.backlog() as f64 + work + BESIDE * beside + crossing + failing + connecting(now, runner, demand)
+/// Time after which a beginning that was sent to a runner has surely been read there.
+fn read_after(pace: &Pace, tokens: u64) -> Duration {
+    READ + pace.reading(tokens, 0).mul_f64(READ_TIMES)
 }
 
-/// Cost of the connection that the request would need.
+/// Milliseconds that the connection which the request would need is worth.
 fn connecting(now: Moment, runner: &Runner, demand: &Demand) -> f64 {
     let warm = runner.idle.is_some_and(|idle| idle.is_usable(now, demand.once));
     if warm { 0.0 } else { CONNECTION }
 }
 
-/// The subject's home: the same on every host that knows the same runners.
-fn home(open: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
+/// The subject's home: the same on every host of the zone that knows the same runners.
+///
+/// It is in the callers' zone, so that those who ask about it later find it near.
+fn home(known: Known<'_>, open: &[(Key, &Runner)], demand: &Demand, is_long: bool) -> Option<Key> {
     let subject = demand.subject()?.id;
-    let rank = |runner: &Runner| weight(subject, runner.hash);
-    let long = demand.is_long();
-    let fits = |runner: &&(Key, &Runner)| runner.1.long == long;
-    let kept = open.iter().filter(fits).max_by_key(|(_, runner)| rank(runner));
-    let any = || open.iter().max_by_key(|(_, runner)| rank(runner));
-    kept.or_else(any).map(|(key, _)| *key)
+    let order = |runner: &Runner| {
+        let near = runner.listed.zone == known.fleet.zone;
+        let fits = runner.long == is_long;
+        (near, fits, weight(subject, runner.hash))
+    };
+    let home = open.iter().max_by_key(|(_, runner)| order(runner));
+    home.map(|(key, _)| *key)
 }
 
 /// Plain requests are short: one of this zone with a free slot, else any.
@@ -320,14 +343,21 @@
         .filter(|(_, runner)| runner.listed.zone == fleet.zone && runner.load() < runner.listed.slots / 2)
         .copied()
         .collect();
-    least(now, if near.is_empty() { open } else { &near }, demand)
+    least(now, fleet, if near.is_empty() { open } else { &near }, demand)
 }
 
-fn least(now: Moment, set: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
+fn least(now: Moment, fleet: &Fleet, set: &[(Key, &Runner)], demand: &Demand) -> Option<Key> {
     let order = |key: Key, runner: &Runner| {
         let cold = connecting(now, runner, demand) > 0.0;
         let fails = runner.failing > FAILS;
-        (fails, runner.load(), cold, weight(demand.draw, u64::from(key.0)))
+        let quiet = fleet.is_quiet(now, &runner.listed.zone);
+        (
+            fails,
+            quiet,
+            runner.load(),
+            cold,
+            weight(demand.draw, u64::from(key.0)),
+        )
     };
     let chosen = set.iter().min_by_key(|(key, runner)| order(*key, runner));
     chosen.map(|(key, _)| *key)
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -1,34 +1,50 @@
 //! How many runners are ordered for each zone, dependable and reclaimable.
 //!
-//! Reclaimable runners cost a fraction and vanish by zone with seconds of
-//! notice. So most are cheap, and more of them than would be paid for
-//! otherwise: as many as the highest flow of the last half minute needs, and a
-//! quarter more. While those that are there cannot carry the flow of the moment,
-//! dependable ones are ordered besides, in the cheapest zones first.
+//! Two figures are kept apart. What the flow needs follows from the time that runners
+//! spend on reading, as they were seen to take, and from the requests that run at once.
+//! What must be at hand follows from what can vanish: reclaimable runners cost a fraction and
+//! go by zone with seconds of notice, at times while none are to be had anywhere.
+//!
+//! So most are reclaimable while they are cheap: as many as the highest flow of the last half
+//! minute needs, and more, so that the other zones carry the flow when one is lost.
+//! Dependable ones are ordered where reclaimable ones are not to be had and those that are
+//! there cannot carry the flow of the moment, in the cheapest zones first.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::fleet::Fleet;
-use super::route::{Scaling, Table};
+use super::route::{Scaling, Service, Table};
 use crate::target::Targets;
 use crate::time::Moment;
 
-/// Reclaimable runners ordered for each one needed: they boot for four seconds,
-/// and one zone's vanish at a time.
-const HEADROOM: f64 = 1.25;
-/// Work of one runner, in prompt tokens a second: two fifths of what an engine
-/// of the users' sites reads, as the rest of its time goes to generating, and as
-/// prompts that come together must not wait for each other. At a third the
-/// standard days' worth was 0.006 lower, for 0.01 more of the requests served.
-const FLOW: u64 = 26_000;
+/// Part of a runner's time that goes to reading where all is well: the rest goes to
+/// generating, and prompts that come together must not wait for each other.
+const LOAD: f64 = 0.35;
+/// The same where more runners cost more than the waiting: after a loss, until others boot.
+const LOAD_TIGHT: f64 = 0.6;
+/// Part of a runner's places that are taken where all is well.
+const TAKEN: f64 = 0.6;
+/// Reserve of reclaimable runners, in dependable ones' price for each one needed.
+const RESERVE: f64 = 0.05;
+/// Most reserve, as a part of those needed.
+const RESERVE_MOST: f64 = 0.5;
+/// Price of reclaimable runners, as a part of the full one, from which they are not worth
+/// their vanishing.
+const CHEAP: f64 = 0.7;
 /// How long a peak of the flow counts: bursts come in series on bad days, and
 /// runners take four seconds to boot.
 const HOLD: Duration = Duration::from_secs(8);
 /// How long a peak counts for the cheap runners at hand.
 const HOLD_CHEAP: Duration = Duration::from_secs(30);
+/// How long those that were found count as needed; the flow that they carried is not known.
+const HOLD_FOUND: Duration = Duration::from_secs(15);
 /// Pause between two orders for the same thing that was refused or lost.
 const AGAIN: Duration = Duration::from_millis(1_500);
+/// Longest pause; it doubles with each refusal.
+const AGAIN_MOST: Duration = Duration::from_secs(6);
+/// Time beyond the usual boot after which a runner that was ordered is not expected any more.
+const OVERDUE: Duration = Duration::from_millis(1_500);
 /// Time after which an order that stands is said again: an order whose answer
 /// was lost may be carried out late, over a newer one.
 const RESTATE: Duration = Duration::from_secs(15);
@@ -78,23 +94,31 @@
         }
         self.values.front().map_or(value, |(_, high)| *high)
     }
+
+    /// The highest value of the last span, without a new one.
+    fn highest(&self, now: Moment, span: Duration) -> u32 {
+        let young = self.values.iter().find(|(at, _)| now.since(*at) < span);
+        young.map_or(0, |(_, value)| *value)
+    }
 }
 
-/// What the flow of a service needed.
+/// The highest flows of a service, in runners that do nothing but read, in thousandths.
 #[derive(Clone, Debug)]
 struct Peak {
     service: String,
     urgent: High,
     usual: High,
+    /// Runners that were there when this planner began.
+    found: High,
 }
 
 plain! {
     /// Runners that a service needs.
     #[derive(Copy)]
     struct Needed {
-        /// To carry what comes now.
+        /// To carry what comes now, at the worst.
         urgent: u32,
-        /// To have at hand for the bursts of this day.
+        /// To have at hand for the bursts of this day, and for the loss of a zone.
         usual: u32,
     }
 }
@@ -105,20 +129,17 @@
         name: String,
         cheap: u32,
         dependable: u32,
+        running: u32,
     }
 }
 
 impl Zone {
-    /// Runners needed for which a zone was sized; cheap ones have headroom.
-    fn sized_for(&self) -> f64 {
-        f64::from(self.dependable) + f64::from(self.cheap) / HEADROOM
-    }
-
     fn of(fleet: &Fleet, service: &str, name: &str) -> Self {
         let mut zone = Self {
             name: name.to_string(),
             cheap: 0,
             dependable: 0,
+            running: 0,
         };
         let runners = fleet.all().map(|(_, runner)| runner);
         let own = runners.filter(|runner| {
@@ -126,6 +147,7 @@
             listed.service == service && listed.zone == name && runner.is_listed()
         });
         for runner in own {
+            zone.running += runner.load();
             match runner.listed.reclaimable {
                 true => zone.cheap += 1,
                 false => zone.dependable += 1,
@@ -135,10 +157,23 @@
     }
 }
 
+plain! {
+    /// What is known of an order besides its number.
+    #[derive(Copy, Default)]
+    struct Progress {
+        /// Refusals in a row.
+        refused: u32,
+        /// When it was accepted last with a higher number, while those runners boot.
+        rose: Option<Moment>,
+        /// Runners that were there at the last look.
+        seen: u32,
+    }
+}
+
 /// Orders that were sent, while in charge.
 #[derive(Debug, Default)]
 pub struct Planner {
-    targets: Targets<Kind, ()>,
+    targets: Targets<Kind, Progress>,
     peaks: Vec<Peak>,
     /// When an order was sent whose answer has not come.
     sending: Option<Moment>,
@@ -147,7 +182,7 @@
 impl Planner {
     /// The next order to send, while in charge.
     ///
-    /// `flow` tells what work a service gets, in prompt tokens a second.
+    /// `flow` tells how much reading a service gets, in microseconds a second.
     pub fn tick(
         &mut self,
         now: Moment,
@@ -160,12 +195,13 @@
         }
         for service in table.services() {
             if let Some(scaling) = &service.scaling {
-                self.plan(now, scaling, fleet, &service.name, flow(&service.name));
+                self.plan(now, service, scaling, fleet, flow(&service.name));
             }
         }
         let target = self.targets.due(now, Some(RESTATE))?;
         self.sending = Some(now);
-        target.next = now + AGAIN;
+        let pause = AGAIN * 2u32.saturating_pow(target.more.refused);
+        target.next = now + pause.min(AGAIN_MOST);
         let Kind {
             service,
             zone,
@@ -181,7 +217,7 @@
 
     /// What came of the order.
     pub fn ordered(&mut self, now: Moment, order: &Order, accepted: bool) {
-        if self.sending.take().is_none() || !accepted {
+        if self.sending.take().is_none() {
             return;
         }
         let target = self.targets.of(Kind {
@@ -189,6 +225,14 @@
             zone: order.zone.clone(),
             reclaimable: order.reclaimable,
         });
+        if !accepted {
+            target.more.refused = (target.more.refused + 1).min(REFUSED_MOST);
+            return;
+        }
+        target.more.refused = 0;
+        if target.accepted.is_none_or(|have| have < order.count) {
+            target.more.rose = Some(now);
+        }
         // What is wanted may have changed since; that is due at once.
         if target.want == order.count {
             target.accept(now, order.count);
@@ -196,19 +240,34 @@
     }
 
     /// Sets the targets of one service.
-    fn plan(&mut self, now: Moment, scaling: &Scaling, fleet: &Fleet, service: &str, flow: u64) {
-        if scaling.cheap.is_none() {
+    fn plan(&mut self, now: Moment, service: &Service, scaling: &Scaling, fleet: &Fleet, flow: u64) {
+        let Some(price) = scaling.cheap else {
             return;
-        }
+        };
         let zones: Vec<Zone> = by_price(scaling)
             .into_iter()
-            .map(|name| Zone::of(fleet, service, name))
+            .map(|name| Zone::of(fleet, &service.name, name))
             .collect();
-        let found = zones.iter().map(Zone::sized_for).sum::<f64>();
-        let peak = self.peak(now, service, flow, found as u32);
-        let cheap: u32 = zones.iter().map(|zone| zone.cheap).sum();
-        let mut lacking = peak.urgent.saturating_sub(cheap);
+        let needed = self.needed(now, service, &zones, price, flow);
         let count = zones.len() as u32;
+        let cheap = if price < CHEAP { needed.usual } else { 0 };
+        let least = if price < CHEAP { scaling.least } else { 0 };
+        let each = cheap.div_ceil(count).clamp(least, scaling.most);
+        // Those that boot will carry their part; until they do, none is given back for them.
+        let expected: u32 = zones
+            .iter()
+            .map(|zone| self.expected(now, service, scaling, zone))
+            .sum();
+        let here: u32 = zones.iter().map(|zone| zone.cheap).sum();
+        let dependable: u32 = zones.iter().map(|zone| zone.dependable).sum();
+        let urgent = if price < CHEAP {
+            needed.urgent
+        } else {
+            needed.usual
+        };
+        let lacking_then = urgent.saturating_sub(expected);
+        let lacking_now = urgent.saturating_sub(here).min(dependable);
+        let mut lacking = lacking_then.max(lacking_now);
         // Not all in one zone: it may be cut off next.
         let most = lacking.div_ceil(2);
         for zone in zones {
@@ -217,41 +276,82 @@
             let room = scaling.most.saturating_sub(zone.cheap);
             let dependable = lacking.min(most).min(room);
             lacking -= dependable;
-            let wanted = peak.usual.div_ceil(count).min(scaling.most - dependable);
             let kind = |reclaimable| Kind {
-                service: service.to_string(),
+                service: service.name.clone(),
                 zone: zone.name.clone(),
                 reclaimable,
             };
             self.targets.of(kind(false)).want(dependable);
-            self.targets.of(kind(true)).want(wanted.max(scaling.least));
+            self.targets
+                .of(kind(true))
+                .want(each.min(scaling.most - dependable));
+        }
+    }
+
+    /// Reclaimable runners of a zone that are there or will be after a boot.
+    fn expected(&mut self, now: Moment, service: &Service, scaling: &Scaling, zone: &Zone) -> u32 {
+        let target = self.targets.of(Kind {
+            service: service.name.clone(),
+            zone: zone.name.clone(),
+            reclaimable: true,
+        });
+        // Some have vanished: what was ordered before may have gone with them.
+        let vanished = zone.cheap < target.more.seen;
+        target.more.seen = zone.cheap;
+        let ordered = target.accepted.unwrap_or(0);
+        let boots = |rose: &Moment| now.since(*rose) < scaling.boot + OVERDUE;
+        target.more.rose = target.more.rose.filter(boots);
+        if vanished || zone.cheap >= ordered {
+            target.more.rose = None;
+        }
+        match target.more.rose {
+            Some(_) => ordered,
+            None => zone.cheap,
         }
     }
 
     /// Runners that the highest flow needed, lately and for longer.
-    fn peak(&mut self, now: Moment, service: &str, flow: u64, found: u32) -> Needed {
+    fn needed(&mut self, now: Moment, service: &Service, zones: &[Zone], price: f64, flow: u64) -> Needed {
+        let found: u32 = zones.iter().map(|zone| zone.dependable + zone.cheap).sum();
+        let running: u32 = zones.iter().map(|zone| zone.running).sum();
+        let slots = service.engine.map_or(u32::MAX, |engine| engine.slots.max(1));
+        let peak = self.peak(now, &service.name, found);
+        let reading = (flow / 1_000) as u32;
+        let urgent = f64::from(peak.urgent.rise(now, reading, HOLD)) / 1e3;
+        let usual = f64::from(peak.usual.rise(now, reading, HOLD_CHEAP)) / 1e3;
+        let found = peak.found.highest(now, HOLD_FOUND);
+        let places = f64::from(running) / (f64::from(slots) * TAKEN);
+        let reserve = 1.0 + (RESERVE / price.max(RESERVE)).min(RESERVE_MOST);
+        let others = (zones.len() as f64 - 1.0).max(1.0);
+        let after_loss = usual / LOAD_TIGHT * zones.len() as f64 / others;
+        let wanted = (usual / LOAD * reserve).max(after_loss).max(places);
+        Needed {
+            urgent: (urgent / LOAD_TIGHT).max(places).ceil() as u32,
+            usual: (wanted.ceil() as u32).max(found),
+        }
+    }
+
+    fn peak(&mut self, now: Moment, service: &str, found: u32) -> &mut Peak {
         let known = self.peaks.iter().position(|peak| peak.service == service);
         let at = known.unwrap_or_else(|| {
             let mut peak = Peak {
                 service: service.to_string(),
                 urgent: High::default(),
                 usual: High::default(),
+                found: High::default(),
             };
             // What is there was sized for the usual load by whoever came before.
-            peak.usual.rise(now, found, HOLD_CHEAP);
+            peak.found.rise(now, found, HOLD_FOUND);
             self.peaks.push(peak);
             self.peaks.len() - 1
         });
-        let peak = &mut self.peaks[at];
-        let needed = flow.div_ceil(FLOW) as u32;
-        let usual = peak.usual.rise(now, needed, HOLD_CHEAP);
-        Needed {
-            urgent: peak.urgent.rise(now, needed, HOLD),
-            usual: (f64::from(usual) * HEADROOM).ceil() as u32,
-        }
+        &mut self.peaks[at]
     }
 }
 
+/// Refusals in a row that are told apart.
+const REFUSED_MOST: u32 = 8;
+
 /// Zones, the cheapest first.
 fn by_price(scaling: &Scaling) -> Vec<&String> {
     let mut zones: Vec<(&String, f64)> = scaling
--- a/crates/entry/src/gate/beliefs.rs
+++ b/crates/entry/src/gate/beliefs.rs
@@ -1,6 +1,7 @@
 //! Putting in force what was read: the operator's document and the runners.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use radishstair_core::gate::fleet::Listed;
 use radishstair_core::store::Entry;
@@ -9,6 +10,9 @@
 use super::Shared;
 use crate::upstream::pool::Pool;
 
+/// Time between two log lines on the pace of runners.
+const TELL_PACE: Duration = Duration::from_secs(10);
+
 /// A runner's entry as it was read last.
 #[derive(Debug)]
 struct Parsed {
@@ -28,6 +32,8 @@
     parsed: Vec<Parsed>,
     /// Documents that could not be read, so that each is logged once.
     odd: Option<u64>,
+    /// When the pace of runners was logged last.
+    told: Moment,
 }
 
 impl Beliefs {
@@ -38,6 +44,7 @@
             runners,
             parsed: Vec::new(),
             odd: None,
+            told: Moment::default(),
         }
     }
 
@@ -89,13 +96,43 @@
         }
         self.parsed = parsed;
         let listed = self.parsed.iter().filter_map(|parsed| parsed.listed.clone());
-        let void = self.shared.state().fleet.list(as_of, listed.collect());
+        let now = self.shared.now();
+        let void = self.shared.state().list(now, as_of, listed.collect());
+        self.tell_pace(now);
         for address in void {
             self.runners.forget(address);
         }
         changed
     }
 
+    /// Logs now and then what runners are believed to be able to do, as placement and
+    /// orders follow it.
+    fn tell_pace(&mut self, now: Moment) {
+        if now.since(self.told) < TELL_PACE {
+            return;
+        }
+        self.told = now;
+        let state = self.shared.state();
+        let Some(table) = state.table.clone() else {
+            return;
+        };
+        let engines = table.services().iter().filter(|service| service.engine.is_some());
+        for service in engines {
+            let pace = state.paces.of(&service.name);
+            let parting = state.parting(&service.name);
+            tracing::info!(
+                event = "pace",
+                service = service.name,
+                first_ms = pace.first().as_millis() as u64,
+                thousand_tokens_ms = format!("{:.1}", pace.for_thousand()),
+                stall_ms = pace.stall().as_millis() as u64,
+                long_from_ms = parting.long.as_millis() as u64,
+                long_part = format!("{:.2}", parting.part),
+                flow = state.flow(now, &service.name).rate
+            );
+        }
+    }
+
     fn parse(&self, entry: &Entry) -> Parsed {
         let listed = self.shared.dialect.runner(entry);
         if let Err(err) = &listed {
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -205,8 +205,8 @@
             };
             let order = self
                 .planner
-                .tick(now, &table, &state.fleet, |service| state.flow(now, service));
-            let flow = order.as_ref().map(|order| state.flow(now, &order.service));
+                .tick(now, &table, &state.fleet, |service| state.flow(now, service).rate);
+            let flow = order.as_ref().map(|order| state.flow(now, &order.service).rate);
             (order, flow)
         };
         let Some(order) = order else {
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::fleet::{Key, Sign, Silence};
+use radishstair_core::gate::pace::Outlook;
 use radishstair_core::repeat::Fault;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
@@ -49,17 +50,37 @@
     address: SocketAddr,
     work: u64,
     held: u64,
+    outlook: Outlook,
+    /// When the request was sent there.
+    sent: Option<Moment>,
     /// Where a runner listens that has read the beginning of the prompt.
     source: Option<SocketAddr>,
 }
 
 impl Slot {
-    /// The runner has read the prompt.
+    /// The runner has read the prompt; its first event came.
     pub fn read(&mut self) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.fleet.read(self.key, self.work);
+        if let Some(sent) = self.sent.filter(|_| self.work > 0) {
+            state.first_event(self.key, &self.outlook, now.since(sent));
+        }
+        self.work = 0;
+    }
+
+    /// The runner has read what it had before as well as the prompt; that tells nothing of
+    /// its pace.
+    pub fn read_again(&mut self) {
         self.shared.state().fleet.read(self.key, self.work);
         self.work = 0;
     }
 
+    /// An event came, `pause` after the one before.
+    pub fn event(&self, pause: Duration) {
+        self.shared.state().event(self.key, pause);
+    }
+
     /// Tells of the runner's health.
     pub fn sign(&self, sign: Sign) {
         let now = self.shared.now();
@@ -69,7 +90,12 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.shared.state().fleet.end(self.key, self.work, self.held);
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.fleet.end(self.key, self.work, self.held);
+        if let Some(sent) = self.sent.filter(|_| self.outlook.prompt > 0) {
+            state.left(self.key, now.since(sent));
+        }
     }
 }
 
@@ -155,6 +181,8 @@
             address,
             work: choice.work,
             held: demand.held(),
+            outlook: choice.outlook,
+            sent: None,
             source,
         };
         Some((slot, choice.among))
@@ -170,7 +198,7 @@
         &self,
         job: &Job,
         after: Option<u64>,
-        slot: Slot,
+        mut slot: Slot,
         tries: &mut Tries,
     ) -> Result<Opened, Halt> {
         let line = self.connect(job, &slot).await?;
@@ -179,6 +207,7 @@
         let now = self.shared.now();
         self.look(now, job, &slot, tries)?;
         let request = self.request(now, job, after, &slot);
+        slot.sent = Some(now);
         tries.runs.send();
         let exchange = upstream::exchange(line, slot.address, request);
         let answer = async {
--- a/crates/entry/src/gate/job.rs
+++ b/crates/entry/src/gate/job.rs
@@ -76,6 +76,7 @@
             prompt: self.head.prompt,
             output: self.head.hint.unwrap_or(self.head.output).min(self.head.output),
             parts: self.head.parts.clone(),
+            bytes: self.body.len() as u64,
             copies: self.admission.copies,
             once: self.once(),
             draw,
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -198,10 +198,12 @@
             if !first.bytes.is_empty() {
                 yield Ok(Frame::data(first.bytes));
             }
+            run.rest(self.shared.now());
             loop {
                 match run.next(&job, &self.shared).await {
                     Piece::Events(events) => {
                         trail.events += events.ids.len();
+                        run.tell(self.shared.now(), &events);
                         yield Ok(Frame::data(events.bytes));
                     }
                     Piece::End => {
@@ -251,7 +253,7 @@
             runner = run.opened.slot.id,
             last
         );
-        run.opened.slot.read();
+        run.opened.slot.read_again();
         Some(run)
     }
 }
--- a/crates/entry/src/gate/stream/run.rs
+++ b/crates/entry/src/gate/stream/run.rs
@@ -5,6 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::header::CONTENT_LENGTH;
 use radishstair_core::gate::fleet::Sign;
+use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
 use super::super::Shared;
@@ -28,6 +29,8 @@
     pub last: Option<u64>,
     cutter: Cutter,
     framed: bool,
+    /// When the last event came.
+    came: Option<Moment>,
 }
 
 /// What comes of waiting for a run.
@@ -52,6 +55,7 @@
             cutter: Cutter::default(),
             last,
             framed,
+            came: None,
         }
     }
 
@@ -131,6 +135,20 @@
         true
     }
 
+    /// An event came at `now`, after which pauses count.
+    pub fn rest(&mut self, now: Moment) {
+        self.came = Some(now);
+    }
+
+    /// Lets placement know how long the pause before events was. Several that came together
+    /// waited somewhere else.
+    pub fn tell(&mut self, now: Moment, events: &Events) {
+        if let (Some(came), 1) = (self.came, events.ids.len()) {
+            self.opened.slot.event(now.since(came));
+        }
+        self.came = Some(now);
+    }
+
     /// Closes a run that broke off; the event after which another one goes on.
     ///
     /// Dropping it closes its connection, so that two runners never work on one stream.
