--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -16,12 +16,12 @@
 pub mod civil;
 pub mod fit;
 pub mod fleet;
-pub mod load;
-pub mod memory;
+pub mod gossip;
 pub mod mirror;
 pub mod pace;
 pub mod parting;
 pub mod place;
+pub mod prefix;
 pub mod proof;
 pub mod report;
 pub mod route;
@@ -31,11 +31,11 @@
 
 use budget::Budgets;
 use fleet::{Fleet, Key, Listed};
-use load::{Flow, Meter, News, Peers, Reading};
-use memory::Memory;
+use gossip::{Flow, Holder, Meter, Packet, Peers};
 use pace::{Outlook, Paces};
 use parting::Parting;
 use place::{Choice, Demand, Known};
+use prefix::Index;
 use proof::Proof;
 use route::{Route, Table};
 use tally::{Ledger, Tally};
@@ -73,17 +73,17 @@
 const NEWEST: Duration = Duration::from_millis(1_700);
 
 /// Time without an answer of the store to this host past which it hands its callers
-/// over: two questions of [`WAY_ASKED`] in a row and the wait for their answers.
-const WAY: Duration = Duration::from_millis(2_500);
+/// over: two questions of [`STORE_ASKED`] in a row and the wait for their answers.
+const STORE_SILENT: Duration = Duration::from_millis(2_500);
 /// Time after which a host that learns from its peers asks whether the store still
 /// answers it.
-pub const WAY_ASKED: Duration = Duration::from_millis(1_000);
+pub const STORE_ASKED: Duration = Duration::from_millis(1_000);
 
 /// Tokens from which a subject's place is told to the other hosts: 16 bytes a request
 /// and host, where reading it again takes an engine 15 ms or more.
 const TOLD: u64 = 100;
 /// Most places told at once.
-const READINGS: usize = 256;
+const HOLDERS: usize = 256;
 
 /// Multiple of the usual time past which a runner counts as a straggler.
 const STRAGGLER: f64 = 1.6;
@@ -144,11 +144,11 @@
     /// When the document was known to be the newest.
     pub proof: Proof,
     /// When the store last answered this host itself.
-    pub way: Proof,
+    pub store_answered: Proof,
     /// Runners.
     pub fleet: Fleet,
     /// Where prompts were read.
-    pub memory: Memory,
+    pub prefixes: Index,
     /// What other hosts have on runners.
     pub peers: Peers,
     /// How fast runners are.
@@ -157,8 +157,8 @@
     partings: Vec<(String, Parting)>,
     /// What this host sends.
     pub meter: Meter,
-    /// Where long beginnings went since the last news.
-    readings: Vec<Reading>,
+    /// Where long beginnings went since the last packet.
+    holders: Vec<Holder>,
     /// Repeats that are left.
     pub budgets: Budgets,
     /// Usage of this host.
@@ -176,14 +176,14 @@
             bounds,
             table: None,
             proof: Proof::default(),
-            way: Proof::default(),
+            store_answered: Proof::default(),
             fleet: Fleet::new(zone),
-            memory: Memory::default(),
+            prefixes: Index::default(),
             peers: Peers::default(),
             paces: Paces::default(),
             partings: Vec::new(),
             meter: Meter::default(),
-            readings: Vec::new(),
+            holders: Vec::new(),
             budgets: Budgets::default(),
             tally: Tally::default(),
             ledger: Ledger::default(),
@@ -209,7 +209,7 @@
 
     /// Whether callers should come here.
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.table.is_some() && self.fleet.is_listed() && self.is_fresh(now) && self.has_way(now)
+        self.table.is_some() && self.fleet.is_listed() && self.is_fresh(now) && self.reaches_store(now)
     }
 
     /// Whether callers that are here had better go to another host.
@@ -220,11 +220,11 @@
     /// the store answers no host at all, the peers' proof is old as well, and nobody
     /// is sent about.
     pub fn hands_over(&self, now: Moment) -> bool {
-        self.is_fresh(now) && !self.has_way(now)
+        self.is_fresh(now) && !self.reaches_store(now)
     }
 
-    fn has_way(&self, now: Moment) -> bool {
-        self.way.covers(now, WAY)
+    fn reaches_store(&self, now: Moment) -> bool {
+        self.store_answered.covers(now, STORE_SILENT)
     }
 
     /// Whether keyed requests may be passed on.
@@ -346,7 +346,7 @@
     pub fn place(&mut self, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
         let known = Known {
             fleet: &self.fleet,
-            memory: &self.memory,
+            prefixes: &self.prefixes,
             pace: self.paces.of(&demand.service),
             parting: &self.parting(&demand.service),
         };
@@ -354,7 +354,7 @@
         self.fleet.begin(choice.key, choice.work, demand.held());
         self.meter.add(now, &demand.service, choice.work, choice.is_long);
         for (id, tokens) in demand.beginnings() {
-            self.memory.note(now, id, choice.key);
+            self.prefixes.note(now, id, choice.key);
             if tokens >= TOLD {
                 self.tell(id, choice.key);
             }
@@ -400,17 +400,17 @@
         let Some(runner) = self.fleet.get(key).map(|runner| runner.hash) else {
             return;
         };
-        let reading = Reading { subject, runner };
-        if self.readings.len() < READINGS && !self.readings.contains(&reading) {
-            self.readings.push(reading);
+        let holder = Holder { subject, runner };
+        if self.holders.len() < HOLDERS && !self.holders.contains(&holder) {
+            self.holders.push(holder);
         }
     }
 
     /// What this host tells the others.
-    pub fn news(&mut self, now: Moment, me: Incarnation, number: u64) -> News {
-        News {
-            readings: std::mem::take(&mut self.readings),
-            ..load::news(me, number, &self.fleet, self.meter.flows(now))
+    pub fn packet(&mut self, now: Moment, me: Incarnation, number: u64) -> Packet {
+        Packet {
+            holders: std::mem::take(&mut self.holders),
+            ..gossip::packet(me, number, &self.fleet, self.meter.flows(now))
         }
     }
 
@@ -423,16 +423,16 @@
     }
 
     /// Takes what another host has on runners.
-    pub fn hear(&mut self, now: Moment, me: Incarnation, news: News) {
-        if let Ok(record) = serde_json::from_slice(&news.record) {
+    pub fn hear(&mut self, now: Moment, me: Incarnation, packet: Packet) {
+        if let Ok(record) = serde_json::from_slice(&packet.record) {
             self.ledger.take(now, record);
         }
-        for reading in &news.readings {
-            if let Some(key) = self.fleet.find_hash(reading.runner) {
-                self.memory.note(now, reading.subject, key);
+        for holder in &packet.holders {
+            if let Some(key) = self.fleet.find_hash(holder.runner) {
+                self.prefixes.note(now, holder.subject, key);
             }
         }
-        self.peers.hear(now, me, news, &mut self.fleet, self.hosts);
+        self.peers.hear(now, me, packet, &mut self.fleet, self.hosts);
     }
 
     /// Takes a repeat out of the shared budget, if one is left.
--- a/crates/core/src/gate/load.rs
+++ b/crates/core/src/gate/gossip.rs
@@ -1,32 +1,32 @@
 //! Load on runners as the hosts tell each other.
 //!
 //! Each host sends what it has on each runner, several times a second, to all
-//! others. The news replaces what it said before; a lost datagram costs one
-//! beat. A host that falls silent is forgotten, as its requests end with it.
+//! others. A packet replaces what it said before; a lost datagram costs one
+//! interval. A host that falls silent is forgotten, as its requests end with it.
 
 use std::time::Duration;
 
 use prost::Message;
 
-use super::fleet::Fleet;
+use super::fleet::{self, Fleet};
 use crate::id::{Incarnation, digest};
 use crate::time::Moment;
 
-/// Time between news where few hosts talk.
-pub const BEAT: Duration = Duration::from_millis(200);
-/// Hosts up to which the beat is kept; with more it slows down in proportion, so
+/// Time between packets where few hosts talk.
+pub const INTERVAL: Duration = Duration::from_millis(200);
+/// Hosts up to which the interval is kept; with more it slows down in proportion, so
 /// that a host hears no more than 50 datagrams a second.
 const FEW: u32 = 10;
-/// Beats between two usage records.
+/// Packets between two usage records.
 pub const RECORD_EVERY: u64 = 5;
-/// Beats after which a zone from whose hosts nothing comes may be cut off.
+/// Intervals after which a zone from whose hosts nothing comes may be cut off.
 const QUIET: u32 = 3;
-/// Beats after which a silent host is forgotten.
+/// Intervals after which a silent host is forgotten.
 const SILENT: u32 = 8;
 
 /// What one host has on one runner.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct Row {
+pub struct Load {
     /// Hash of the runner's id.
     #[prost(fixed64, tag = "1")]
     pub runner: u64,
@@ -68,7 +68,7 @@
 
 /// A runner that reads the beginning of prompts about a subject.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct Reading {
+pub struct Holder {
     /// Id of the part that the prompts share.
     #[prost(fixed64, tag = "1")]
     pub subject: u64,
@@ -79,7 +79,7 @@
 
 /// What one host has on all runners.
 #[derive(Clone, PartialEq, Message)]
-pub struct News {
+pub struct Packet {
     /// Who says it.
     #[prost(fixed64, tag = "1")]
     pub incarnation: u64,
@@ -88,16 +88,16 @@
     pub number: u64,
     /// Runners on which it has anything.
     #[prost(message, repeated, tag = "3")]
-    pub rows: Vec<Row>,
+    pub loads: Vec<Load>,
     /// What it sends to each service.
     #[prost(message, repeated, tag = "5")]
     pub flows: Vec<Flow>,
-    /// Its usage record, in some of its news.
+    /// Its usage record, in some of its packets.
     #[prost(bytes = "vec", tag = "4")]
     pub record: Vec<u8>,
-    /// Long beginnings that it has sent since its last news, and where.
+    /// Long beginnings that it has sent since its last packet, and where.
     #[prost(message, repeated, tag = "7")]
-    pub readings: Vec<Reading>,
+    pub holders: Vec<Holder>,
     /// Availability zone of the sender.
     #[prost(string, tag = "8")]
     pub zone: String,
@@ -106,37 +106,37 @@
     pub nudge: bool,
 }
 
-/// Time between news among `hosts`.
-pub fn beat(hosts: u32) -> Duration {
-    BEAT * hosts.div_ceil(FEW).max(1)
+/// Time between packets among `hosts`.
+pub fn interval(hosts: u32) -> Duration {
+    INTERVAL * hosts.div_ceil(FEW).max(1)
 }
 
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Moment,
-    news: News,
+    packet: Packet,
 }
 
-/// News of all other hosts.
+/// What all other hosts said last.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     peers: Vec<Peer>,
 }
 
 impl Peers {
-    /// Takes news in.
-    pub fn hear(&mut self, now: Moment, me: Incarnation, news: News, fleet: &mut Fleet, hosts: u32) {
-        if news.incarnation == me.0 {
+    /// Takes a packet in.
+    pub fn hear(&mut self, now: Moment, me: Incarnation, packet: Packet, fleet: &mut Fleet, hosts: u32) {
+        if packet.incarnation == me.0 {
             return;
         }
-        fleet.hear_zone(now, &news.zone, beat(hosts) * QUIET);
+        fleet.hear_zone(now, &packet.zone, interval(hosts) * QUIET);
         let found = self
             .peers
-            .binary_search_by_key(&news.incarnation, |peer| peer.news.incarnation);
+            .binary_search_by_key(&packet.incarnation, |peer| peer.packet.incarnation);
         match found {
-            Ok(at) if self.peers[at].news.number >= news.number => return,
-            Ok(at) => self.peers[at] = Peer { heard: now, news },
-            Err(at) => self.peers.insert(at, Peer { heard: now, news }),
+            Ok(at) if self.peers[at].packet.number >= packet.number => return,
+            Ok(at) => self.peers[at] = Peer { heard: now, packet },
+            Err(at) => self.peers.insert(at, Peer { heard: now, packet }),
         }
         self.forget(now, hosts);
         self.sum(fleet);
@@ -145,7 +145,7 @@
     /// Work that the other hosts send to a service.
     pub fn flow(&self, service: &str) -> Flow {
         let service = digest(service.as_bytes());
-        let flows = self.peers.iter().flat_map(|peer| &peer.news.flows);
+        let flows = self.peers.iter().flat_map(|peer| &peer.packet.flows);
         let own = flows.filter(|flow| flow.service == service);
         own.fold(
             Flow {
@@ -159,46 +159,47 @@
 
     /// Forgets hosts that fell silent.
     fn forget(&mut self, now: Moment, hosts: u32) {
-        let limit = beat(hosts) * SILENT;
+        let limit = interval(hosts) * SILENT;
         self.peers.retain(|peer| now.since(peer.heard) < limit);
     }
 
     fn sum(&self, fleet: &mut Fleet) {
-        let mut rows: Vec<Row> = self
+        let mut loads: Vec<Load> = self
             .peers
             .iter()
-            .flat_map(|peer| peer.news.rows.iter().copied())
+            .flat_map(|peer| peer.packet.loads.iter().copied())
             .collect();
-        rows.sort_unstable_by_key(|row| row.runner);
+        loads.sort_unstable_by_key(|load| load.runner);
         fleet.others(|hash| {
-            let from = rows.partition_point(|row| row.runner < hash);
-            let own = rows[from..].iter().take_while(|row| row.runner == hash);
-            own.fold(Row::default(), |sum, row| Row {
-                runner: hash,
-                running: sum.running + row.running,
-                work: sum.work + row.work,
-                held: sum.held + row.held,
+            let from = loads.partition_point(|load| load.runner < hash);
+            let own = loads[from..].iter().take_while(|load| load.runner == hash);
+            own.fold(fleet::Load::default(), |sum, load| fleet::Load {
+                running: sum.running + load.running,
+                work: sum.work + load.work,
+                held: sum.held + load.held,
             })
         });
     }
 }
 
 /// What this host tells.
-pub fn news(me: Incarnation, number: u64, fleet: &Fleet, flows: Vec<Flow>) -> News {
-    let rows = fleet
+pub fn packet(me: Incarnation, number: u64, fleet: &Fleet, flows: Vec<Flow>) -> Packet {
+    let loads = fleet
         .all()
         .filter(|(_, runner)| runner.own.running > 0)
-        .map(|(_, runner)| Row {
+        .map(|(_, runner)| Load {
             runner: runner.hash,
-            ..runner.own
+            running: runner.own.running,
+            work: runner.own.work,
+            held: runner.own.held,
         });
-    News {
+    Packet {
         incarnation: me.0,
         number,
-        rows: rows.collect(),
+        loads: loads.collect(),
         flows,
         record: Vec::new(),
-        readings: Vec::new(),
+        holders: Vec::new(),
         zone: fleet.zone.clone(),
         nudge: false,
     }
--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -21,9 +21,9 @@
 use std::time::Duration;
 
 use super::fleet::{Fleet, Key, Runner};
-use super::memory::{Memory, Place};
 use super::pace::{Outlook, Pace, ms};
 use super::parting::{self, Parting};
+use super::prefix::{Holder, Index};
 use crate::id::weight;
 use crate::time::Moment;
 
@@ -154,7 +154,7 @@
     /// All runners.
     pub fleet: &'a Fleet,
     /// What they have read.
-    pub memory: &'a Memory,
+    pub prefixes: &'a Index,
     /// How fast those of the service are.
     pub pace: &'a Pace,
     /// How they are divided.
@@ -261,20 +261,20 @@
         };
         // The deepest part goes first, so that a runner's first entry is its longest.
         for (id, tokens) in demand.beginnings().into_iter().rev() {
-            let places = known.memory.places(now, id);
-            let here: Vec<&Place> = places
-                .filter(|place| known.fleet.keeps(now, place.key, place.since))
+            let holders = known.prefixes.holders(now, id);
+            let here: Vec<&Holder> = holders
+                .filter(|holder| known.fleet.keeps(now, holder.key, holder.since))
                 .collect();
-            for place in &here {
-                if let Err(at) = read.find(place.key) {
-                    read.runners.insert(at, (place.key, tokens));
+            for holder in &here {
+                if let Err(at) = read.find(holder.key) {
+                    read.runners.insert(at, (holder.key, tokens));
                 }
             }
             if demand.copies && read.sources.is_empty() {
                 let done = here
                     .iter()
-                    .filter(|place| now.since(place.since) >= read_after(known.pace, tokens));
-                read.sources = done.map(|place| place.key).collect();
+                    .filter(|holder| now.since(holder.since) >= read_after(known.pace, tokens));
+                read.sources = done.map(|holder| holder.key).collect();
                 read.longest = if read.sources.is_empty() { 0 } else { tokens };
             }
         }
--- a/crates/core/src/gate/memory.rs
+++ b/crates/core/src/gate/prefix.rs
@@ -9,20 +9,19 @@
 use super::fleet::Key;
 use crate::time::Moment;
 
-/// Time after its last use for which a beginning counts as kept. Engines drop
-/// the least recently used; at twice the users' peak load a tenth of the memory
-/// turns over in this time.
+/// Time after its last use for which a beginning counts as kept; engines drop the least
+/// recently used.
 const KEPT: Duration = Duration::from_secs(20);
 /// Most parts remembered; the least recently used go first.
 const MOST: usize = 8_192;
 /// Most runners remembered for a part: a short one that all requests of a class share is
 /// soon read everywhere, and copies of it are dear to nobody.
-const PLACES: usize = 64;
+const HOLDERS: usize = 64;
 
 plain! {
     /// A runner that has read a beginning.
     #[derive(Copy)]
-    pub struct Place {
+    pub struct Holder {
         /// The runner.
         pub key: Key,
         /// When it was first sent there.
@@ -37,22 +36,22 @@
         id: u64,
         used: Moment,
         /// The one that was used last at the end.
-        places: Vec<Place>,
+        holders: Vec<Holder>,
     }
 }
 
 /// Parts by id.
 #[derive(Clone, Debug, Default)]
-pub struct Memory {
+pub struct Index {
     parts: Vec<Part>,
 }
 
-impl Memory {
+impl Index {
     /// Runners that have read the chain up to a part lately.
-    pub fn places(&self, now: Moment, part: u64) -> impl Iterator<Item = &Place> {
+    pub fn holders(&self, now: Moment, part: u64) -> impl Iterator<Item = &Holder> {
         let found = self.parts.binary_search_by_key(&part, |have| have.id);
-        let places = found.map_or(&[][..], |at| &self.parts[at].places);
-        places.iter().filter(move |place| now.since(place.used) < KEPT)
+        let holders = found.map_or(&[][..], |at| &self.parts[at].holders);
+        holders.iter().filter(move |holder| now.since(holder.used) < KEPT)
     }
 
     /// A request with the part goes to a runner.
@@ -63,7 +62,7 @@
                 let new = Part {
                     id: part,
                     used: now,
-                    places: Vec::new(),
+                    holders: Vec::new(),
                 };
                 self.parts.insert(at, new);
                 at
@@ -87,13 +86,13 @@
 impl Part {
     fn note(&mut self, now: Moment, key: Key) {
         self.used = now;
-        self.places.retain(|place| now.since(place.used) < KEPT);
-        let known = self.places.iter().position(|place| place.key == key);
-        let since = known.map_or(now, |at| self.places.remove(at).since);
-        if self.places.len() == PLACES {
-            self.places.remove(0);
+        self.holders.retain(|holder| now.since(holder.used) < KEPT);
+        let known = self.holders.iter().position(|holder| holder.key == key);
+        let since = known.map_or(now, |at| self.holders.remove(at).since);
+        if self.holders.len() == HOLDERS {
+            self.holders.remove(0);
         }
-        self.places.push(Place {
+        self.holders.push(Holder {
             key,
             since,
             used: now,
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -27,7 +27,7 @@
 use crate::handle::Handle;
 use crate::metrics::Class;
 use crate::peers::links::Links;
-use crate::upstream::course;
+use crate::upstream::attempts;
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, Outgoing, leaves};
 
@@ -155,7 +155,7 @@
 
     async fn repeatable(&self, job: &Job) -> Result<Response<Body>, Refusal> {
         let mut plain = Plain::new(self, job, false);
-        let answered = course::run(&mut plain).await?;
+        let answered = attempts::run(&mut plain).await?;
         Ok(self.answered(job, answered))
     }
 
@@ -233,7 +233,7 @@
     /// Runs a call whose record says that it is this task's alone to run.
     async fn run_once(&self, job: &Job, key: Key) -> Result<Response<Body>, Refusal> {
         let mut plain = Plain::new(self, job, true);
-        match course::run(&mut plain).await {
+        match attempts::run(&mut plain).await {
             Ok(answered) => {
                 self.end(key, End::Ran(kept(&answered)));
                 Ok(self.answered(job, answered))
--- a/crates/entry/src/front/call/plain.rs
+++ b/crates/entry/src/front/call/plain.rs
@@ -9,7 +9,7 @@
 
 use super::{Answered, Caller, Job};
 use crate::upstream::Failure;
-use crate::upstream::course::{Course, Stop};
+use crate::upstream::attempts::{Attempts, Stop};
 
 /// Runners tried for a call that may be repeated, or that was refused.
 const TRIES: u32 = 4;
@@ -46,7 +46,7 @@
     }
 }
 
-impl Course for Plain<'_> {
+impl Attempts for Plain<'_> {
     type Place = Start;
     type Answer = Answered;
     type End = Refusal;
--- a/crates/entry/src/front/chat/job.rs
+++ b/crates/entry/src/front/chat/job.rs
@@ -23,7 +23,7 @@
 use crate::front::sse::Splitter;
 use crate::handle::Handle;
 use crate::metrics::Class;
-use crate::upstream::course::{self, Course, Stop};
+use crate::upstream::attempts::{self, Attempts, Stop};
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, Kept, Outgoing, leaves};
 
@@ -87,7 +87,7 @@
     };
 }
 
-impl Course for Chat<'_> {
+impl Attempts for Chat<'_> {
     type Place = Start;
     type Answer = ();
     type End = End;
@@ -145,7 +145,7 @@
             tries: Tries::default(),
             last: Kind::NoRunner.into(),
         };
-        let outcome = course::run(&mut chat).await;
+        let outcome = attempts::run(&mut chat).await;
         self.finish(outcome, state, &pieces).await;
     }
 
--- a/crates/entry/src/gate/accept.rs
+++ b/crates/entry/src/gate/accept.rs
@@ -21,9 +21,9 @@
 
 use super::Shared;
 use super::dialect::Head;
-use super::forward::{Forwarder, come_back};
+use super::forward::Forwarder;
 use super::job::{Job, Tries, ask};
-use super::reply::{self, Body};
+use super::reply::{self, Body, come_back};
 use crate::flight::Flight;
 use crate::serve;
 
--- a/crates/entry/src/gate/admin.rs
+++ b/crates/entry/src/gate/admin.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -12,7 +11,7 @@
 use radishstair_wire::log;
 use tokio::net::TcpListener;
 
-use super::reply::{Body, full};
+use super::reply::{Body, answer};
 use super::{Shared, changes};
 
 /// Where metrics are served.
@@ -79,10 +78,3 @@
         false => answer(StatusCode::SERVICE_UNAVAILABLE, "no fresh configuration\n"),
     }
 }
-
-/// A short answer.
-pub(super) fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
-    let mut response = Response::new(full(body));
-    *response.status_mut() = status;
-    response
-}
--- /dev/null
+++ b/crates/entry/src/gate/call.rs
@@ -0,0 +1,36 @@
+//! Calls of the platform's store, counted.
+
+use std::time::Duration;
+
+use radishstair_core::store::{Answer, Call};
+
+use super::Shared;
+use super::dialect::Page;
+use super::store::{Asked, Asker};
+
+/// Keys of a page that are asked for.
+pub const LIMIT: u32 = 500;
+/// Longest wait for a write to the store.
+pub const WRITE: Duration = Duration::from_millis(800);
+
+/// Asks the store and counts what came of it.
+pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
+    let asked = shared.now();
+    let address = shared.settings.load().store;
+    let request = shared.dialect.call(call);
+    let unanswered = |answer| Page {
+        answer,
+        more: false,
+        revision: 0,
+    };
+    let page = match asker.ask(address, request, limit).await {
+        Asked::Answer(status, body) => shared.dialect.answer(call, status, &body),
+        Asked::Never => unanswered(Answer::Refused),
+        Asked::Lost => unanswered(Answer::Lost),
+    };
+    if !matches!(page.answer, Answer::Refused | Answer::Lost) {
+        shared.state().store_answered.renew(asked);
+    }
+    shared.metrics.platform_call(call.name(), page.answer.outcome());
+    page
+}
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -14,8 +14,7 @@
 use radishstair_core::gate::mirror::Changes;
 
 use super::Shared;
-use super::admin::answer;
-use super::reply::Body;
+use super::reply::{Body, answer};
 use super::store::{Asked, Asker};
 
 const PATH: &str = "/changes";
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -15,14 +15,12 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::Shared;
-use super::records::Records;
+use super::call::{self, WRITE};
+use super::records::{Own, PREFIX, Records};
 use super::store::{Asked, Asker};
-use super::sync::{self, Own, PREFIX};
 
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
-/// Longest wait for a write to the store.
-pub const WRITE: Duration = Duration::from_millis(800);
 /// Most orders of one step, so that the lease is renewed in time.
 const ORDERS: usize = 4;
 /// A process does not seek the duty in its first seconds: its former run may
@@ -127,7 +125,7 @@
         let candidate = now.since(self.began) >= SETTLED;
         let mut call = self.lease.tick(now, candidate);
         while let Some(next) = call {
-            let answer = sync::ask(&self.shared, &self.store, &next, WRITE).await.answer;
+            let answer = call::ask(&self.shared, &self.store, &next, WRITE).await.answer;
             call = self.lease.answer(self.shared.now(), &answer);
         }
         self.tell();
@@ -137,7 +135,7 @@
         let now = self.shared.now();
         self.lease.stop(now);
         while let Some(call) = self.lease.tick(self.shared.now(), false) {
-            let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
+            let answer = call::ask(&self.shared, &self.store, &call, WRITE).await.answer;
             self.lease.answer(self.shared.now(), &answer);
         }
         self.tell();
@@ -169,7 +167,7 @@
         while let Some(next) = step {
             step = match next {
                 report::Step::Store(call) => {
-                    let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
+                    let answer = call::ask(&self.shared, &self.store, &call, WRITE).await.answer;
                     self.reporter.answer(self.shared.now(), &answer)
                 }
                 report::Step::Report(grant, window) => {
--- a/crates/entry/src/gate/forward.rs
+++ b/crates/entry/src/gate/forward.rs
@@ -6,7 +6,6 @@
 //! Plain requests and streams go from runner to runner as [`plain`](super::plain)
 //! and [`stream`](super::stream) say.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,6 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::gate::fleet::{Key, Sign, Silence};
-use radishstair_core::gate::pace::Outlook;
 use radishstair_core::repeat::Fault;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
@@ -26,7 +24,9 @@
 use super::Shared;
 use super::dialect::{Mark, Pass};
 use super::job::{Job, Tries};
-use crate::upstream::course::Stop;
+use super::reply::come_back;
+use super::slot::Slot;
+use crate::upstream::attempts::Stop;
 use crate::upstream::line::{self, Line};
 use crate::upstream::pool::{self, Pool};
 use crate::upstream::{self, Exchange, Failure, Kept};
@@ -39,66 +39,6 @@
 /// Longest time to read a refusal to its end, so that its connection serves on.
 const DRAIN: Duration = Duration::from_millis(50);
 
-/// A place on a runner; dropping it gives the place back.
-#[derive(Debug)]
-pub struct Slot {
-    shared: Arc<Shared>,
-    /// The runner.
-    pub key: Key,
-    /// Its id.
-    pub id: String,
-    address: SocketAddr,
-    work: u64,
-    held: u64,
-    outlook: Outlook,
-    /// When the request was sent there.
-    sent: Option<Moment>,
-    /// Where a runner listens that has read the beginning of the prompt.
-    source: Option<SocketAddr>,
-}
-
-impl Slot {
-    /// The runner has read the prompt; its first event came.
-    pub fn read(&mut self) {
-        let now = self.shared.now();
-        let mut state = self.shared.state();
-        state.fleet.read(self.key, self.work);
-        if let Some(sent) = self.sent.filter(|_| self.work > 0) {
-            state.first_event(self.key, &self.outlook, now.since(sent));
-        }
-        self.work = 0;
-    }
-
-    /// The runner has read what it had before as well as the prompt; that tells nothing of
-    /// its pace.
-    pub fn read_again(&mut self) {
-        self.shared.state().fleet.read(self.key, self.work);
-        self.work = 0;
-    }
-
-    /// An event came, `pause` after the one before.
-    pub fn event(&self, pause: Duration) {
-        self.shared.state().event(self.key, pause);
-    }
-
-    /// Tells of the runner's health.
-    pub fn sign(&self, sign: Sign) {
-        let now = self.shared.now();
-        self.shared.state().fleet.sign(now, self.key, sign);
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let now = self.shared.now();
-        let mut state = self.shared.state();
-        state.fleet.end(self.key, self.work, self.held);
-        if let Some(sent) = self.sent.filter(|_| self.outlook.prompt > 0) {
-            state.left(self.key, now.since(sent));
-        }
-    }
-}
-
 /// A runner's answer whose head has come.
 #[derive(Debug)]
 pub struct Opened {
@@ -449,21 +389,6 @@
     }
 }
 
-/// Longest time to come back after a refusal: runners that rest or boot serve
-/// again about then.
-const COME_BACK: Duration = Duration::from_millis(900);
-/// Part of the caller's time left after which it comes back at the latest;
-/// callers heed up to a third.
-const COME_BACK_PART: f64 = 0.28;
-
-/// When a refused caller comes back: spread over the second half of the span,
-/// so that those refused together do not return together.
-pub fn come_back(left: Option<Duration>, draw: u32) -> Duration {
-    let part = left.unwrap_or(COME_BACK).mul_f64(COME_BACK_PART);
-    let spread = 0.5 + 0.5 * f64::from(draw) / f64::from(u32::MAX);
-    part.min(COME_BACK).mul_f64(spread)
-}
-
 /// Whether an answer is the runner's answer to this very request.
 ///
 /// An extra answer may come late, where the next request's is expected; passed
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -1,17 +1,17 @@
 //! Sending and hearing what hosts have on runners, over UDP.
 //!
-//! Nothing is decided by this news but which of several good runners gets a
+//! Nothing is decided by these packets but which of several good runners gets a
 //! request, and when a host asks for changes, so it needs no acknowledgement.
 
 use std::sync::Arc;
 
 use prost::Message;
-use radishstair_core::gate::load::{self, News};
+use radishstair_core::gate::gossip::{self, Packet};
 use tokio::net::UdpSocket;
 
 use super::Shared;
 
-/// Most bytes of one datagram; news of 1,500 runners fit in.
+/// Most bytes of one datagram; loads of 1,500 runners fit in.
 const DATAGRAM: usize = 48 * 1024;
 
 /// Sends and hears until the process ends.
@@ -22,22 +22,25 @@
     let mut idle = false;
     loop {
         number += 1;
-        let (mut news, pause) = {
+        let (mut packet, pause) = {
             let now = shared.now();
             let mut state = shared.state();
-            (state.news(now, shared.me, number), load::beat(state.hosts))
+            (
+                state.packet(now, shared.me, number),
+                gossip::interval(state.hosts),
+            )
         };
-        if number % load::RECORD_EVERY == 0 {
+        if number % gossip::RECORD_EVERY == 0 {
             // Writing text and numbers as JSON cannot fail.
-            news.record = serde_json::to_vec(&shared.record(false)).unwrap_or_default();
+            packet.record = serde_json::to_vec(&shared.record(false)).unwrap_or_default();
         }
         // That nothing runs any more is said once.
-        let says_more = !news.record.is_empty() || !news.readings.is_empty();
-        if !news.rows.is_empty() || says_more || !idle {
-            idle = news.rows.is_empty();
-            send(&shared, &socket, &news).await;
+        let says_more = !packet.record.is_empty() || !packet.holders.is_empty();
+        if !packet.loads.is_empty() || says_more || !idle {
+            idle = packet.loads.is_empty();
+            send(&shared, &socket, &packet).await;
         }
-        // What was found is told at once, and does not put the next news off.
+        // What was found is told at once, and does not put the next packet off.
         let next = tokio::time::sleep(pause);
         tokio::pin!(next);
         loop {
@@ -49,19 +52,19 @@
     }
 }
 
-fn nudge(shared: &Shared) -> News {
-    News {
+fn nudge(shared: &Shared) -> Packet {
+    Packet {
         incarnation: shared.me.0,
         nudge: true,
-        ..News::default()
+        ..Packet::default()
     }
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, news: &News) {
-    let bytes = news.encode_to_vec();
+async fn send(shared: &Shared, socket: &UdpSocket, packet: &Packet) {
+    let bytes = packet.encode_to_vec();
     let own = shared.settings.load().peer_listen;
     for peer in shared.peers.load().iter().filter(|peer| **peer != own) {
-        // The next beat says it again.
+        // The next one says it again.
         let _ = socket.send_to(&bytes, *peer).await;
     }
 }
@@ -74,13 +77,13 @@
             tokio::task::yield_now().await;
             continue;
         };
-        if let Ok(news) = News::decode(&bytes[..length]) {
-            if news.nudge {
+        if let Ok(packet) = Packet::decode(&bytes[..length]) {
+            if packet.nudge {
                 shared.nudged.notify_one();
                 continue;
             }
             let now = shared.now();
-            shared.state().hear(now, shared.me, news);
+            shared.state().hear(now, shared.me, packet);
         }
     }
 }
--- a/crates/entry/src/gate/plain.rs
+++ b/crates/entry/src/gate/plain.rs
@@ -5,10 +5,11 @@
 use radishstair_core::gate::route::Mode;
 use radishstair_core::repeat::Fault;
 
-use super::forward::{Forwarder, Halt, Slot};
+use super::forward::{Forwarder, Halt};
 use super::job::{Job, Tries};
 use super::reply::{self, Body};
-use crate::upstream::course::{self, Course};
+use super::slot::Slot;
+use crate::upstream::attempts::{self, Attempts};
 
 struct Plain<'a> {
     forwarder: &'a Forwarder,
@@ -18,7 +19,7 @@
     failure: Option<Response<Body>>,
 }
 
-impl Course for Plain<'_> {
+impl Attempts for Plain<'_> {
     type Place = Slot;
     type Answer = Response<Body>;
     type End = Refusal;
@@ -32,8 +33,8 @@
         let collected = self.forwarder.collect(self.job, opened).await;
         let (parts, body) = collected.ok_or(Halt::Failed(Fault::Broken))?;
         let answer = reply::whole(&parts, body);
-        // A service's own failure of a repeatable request may pass at another runner:
-        // one in seven does on the users' look-ups.
+        // A service's own failure of a repeatable request may pass at another runner.
+
         if parts.status.is_server_error() && self.job.admission.route.mode == Mode::Repeatable {
             self.failure = Some(answer);
             return Err(Halt::Failed(Fault::Broken));
@@ -59,7 +60,7 @@
             tries,
             failure: None,
         };
-        let result = course::run(&mut plain).await;
+        let result = attempts::run(&mut plain).await;
         result.or_else(|refusal| plain.failure.take().ok_or(refusal))
     }
 }
--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -16,10 +16,11 @@
 use radishstair_core::time::Moment;
 
 use super::Shared;
-use super::duty::WRITE;
+use super::call::{self, LIMIT, WRITE};
 use super::store::Asker;
-use super::sync::{self, LIMIT, Own};
 
+/// Prefix of this system's own keys.
+pub const PREFIX: &str = "radishstair/";
 /// Prefix of presences.
 const HOSTS: &str = "radishstair/host/";
 /// Prefix of counts.
@@ -38,6 +39,15 @@
 /// A pause between two reads past which the silence of hosts means nothing.
 const AWAY: Duration = Duration::from_millis(2_500);
 
+/// The keys that hosts of this system write, as one round read them.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// Moment as of which they stood.
+    pub as_of: Moment,
+    /// All keys under [`PREFIX`].
+    pub entries: Vec<Entry>,
+}
+
 /// A key that this run writes.
 #[derive(Debug)]
 struct Written {
@@ -168,7 +178,7 @@
                 after,
                 limit: LIMIT,
             };
-            let page = sync::ask(&self.shared, &self.store, &call, WRITE).await;
+            let page = call::ask(&self.shared, &self.store, &call, WRITE).await;
             let Answer::Found(entries) = page.answer else {
                 return;
             };
@@ -200,7 +210,7 @@
                 };
                 let expect = *version;
                 let call = Call::Remove { key, expect };
-                let answer = sync::ask(&self.shared, &self.store, &call, WRITE).await.answer;
+                let answer = call::ask(&self.shared, &self.store, &call, WRITE).await.answer;
                 tracing::info!(event = "host-forgotten", host = record.host, incarnation = %record.incarnation, answer = ?answer);
             }
         }
@@ -234,7 +244,7 @@
         expect: written.version,
         value,
     };
-    match sync::ask(shared, store, &call, WRITE).await.answer {
+    match call::ask(shared, store, &call, WRITE).await.answer {
         Answer::Written(version) => {
             written.version = version;
             true
--- a/crates/entry/src/gate/reply.rs
+++ b/crates/entry/src/gate/reply.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::Response;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
 };
 use hyper::http::response;
+use hyper::{Response, StatusCode};
 use radishstair_core::error::Refusal;
 
 /// Why a body ends before its end; the connection is closed without the last
@@ -93,3 +93,25 @@
     let text = format!("{:.2}", span.as_secs_f64());
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
+
+/// A short answer.
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Longest time to come back after a refusal: runners that rest or boot serve
+/// again about then.
+const COME_BACK: Duration = Duration::from_millis(900);
+/// Part of the caller's time left after which it comes back at the latest;
+/// callers heed up to a third.
+const COME_BACK_PART: f64 = 0.28;
+
+/// When a refused caller comes back: spread over the second half of the span,
+/// so that those refused together do not return together.
+pub fn come_back(left: Option<Duration>, draw: u32) -> Duration {
+    let part = left.unwrap_or(COME_BACK).mul_f64(COME_BACK_PART);
+    let spread = 0.5 + 0.5 * f64::from(draw) / f64::from(u32::MAX);
+    part.min(COME_BACK).mul_f64(spread)
+}
--- a/crates/entry/src/gate/settings.rs
+++ b/crates/entry/src/gate/settings.rs
@@ -44,7 +44,7 @@
     pub orders: bool,
 }
 
-/// Half of the descriptors of the users' smallest hosts (4,100).
+/// Half of the descriptors that a small host has; the others are for runners.
 fn default_connections() -> usize {
     2_048
 }
--- /dev/null
+++ b/crates/entry/src/gate/slot.rs
@@ -0,0 +1,71 @@
+//! A request's place on a runner.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishstair_core::gate::fleet::{Key, Sign};
+use radishstair_core::gate::pace::Outlook;
+use radishstair_core::time::Moment;
+
+use super::Shared;
+
+/// A place on a runner; dropping it gives the place back.
+#[derive(Debug)]
+pub struct Slot {
+    pub(super) shared: Arc<Shared>,
+    /// The runner.
+    pub key: Key,
+    /// Its id.
+    pub id: String,
+    pub(super) address: SocketAddr,
+    pub(super) work: u64,
+    pub(super) held: u64,
+    pub(super) outlook: Outlook,
+    /// When the request was sent there.
+    pub(super) sent: Option<Moment>,
+    /// Where a runner listens that has read the beginning of the prompt.
+    pub(super) source: Option<SocketAddr>,
+}
+
+impl Slot {
+    /// The runner has read the prompt; its first event came.
+    pub fn read(&mut self) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.fleet.read(self.key, self.work);
+        if let Some(sent) = self.sent.filter(|_| self.work > 0) {
+            state.first_event(self.key, &self.outlook, now.since(sent));
+        }
+        self.work = 0;
+    }
+
+    /// The runner has read what it had before as well as the prompt; that tells nothing of
+    /// its pace.
+    pub fn read_again(&mut self) {
+        self.shared.state().fleet.read(self.key, self.work);
+        self.work = 0;
+    }
+
+    /// An event came, `pause` after the one before.
+    pub fn event(&self, pause: Duration) {
+        self.shared.state().event(self.key, pause);
+    }
+
+    /// Tells of the runner's health.
+    pub fn sign(&self, sign: Sign) {
+        let now = self.shared.now();
+        self.shared.state().fleet.sign(now, self.key, sign);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.fleet.end(self.key, self.work, self.held);
+        if let Some(sent) = self.sent.filter(|_| self.outlook.prompt > 0) {
+            state.left(self.key, now.since(sent));
+        }
+    }
+}
--- a/crates/entry/src/gate/stream.rs
+++ b/crates/entry/src/gate/stream.rs
@@ -16,18 +16,19 @@
 use radishstair_core::repeat::Fault;
 
 use super::events::Events;
-use super::forward::{Forwarder, Halt, Slot};
+use super::forward::{Forwarder, Halt};
 use super::job::{Job, Tries};
 use super::reply::{self, Body, Cut};
+use super::slot::Slot;
 use crate::flight::Flight;
-use crate::upstream::course::{self, Course};
+use crate::upstream::attempts::{self, Attempts};
 
 mod run;
 
 use run::{Piece, Run};
 
 /// Tells how a stream ended, also when its caller left.
-struct Trail {
+struct Closing {
     forwarder: Arc<Forwarder>,
     job: Arc<Job>,
     runs: u32,
@@ -36,7 +37,7 @@
     _flight: Flight,
 }
 
-impl Drop for Trail {
+impl Drop for Closing {
     fn drop(&mut self) {
         let shared = &self.forwarder.shared;
         let now = shared.now();
@@ -71,7 +72,7 @@
     failure: Option<Response<Body>>,
 }
 
-impl Course for Begin<'_> {
+impl Attempts for Begin<'_> {
     type Place = Slot;
     type Answer = Begun;
     type End = Refusal;
@@ -118,7 +119,7 @@
     last: u64,
 }
 
-impl Course for Resume<'_> {
+impl Attempts for Resume<'_> {
     type Place = Slot;
     type Answer = Run;
     type End = Refusal;
@@ -159,7 +160,7 @@
             tries,
             failure: None,
         };
-        let begun = match course::run(&mut begin).await {
+        let begun = match attempts::run(&mut begin).await {
             Ok(begun) => begun,
             Err(refusal) => return begin.failure.ok_or(refusal),
         };
@@ -169,7 +170,7 @@
         };
         self.started(&job, &mut run);
         let parts = run.opened.parts.clone();
-        let trail = Trail {
+        let closing = Closing {
             forwarder: self.clone(),
             job,
             runs: 1,
@@ -178,7 +179,7 @@
             _flight: flight,
         };
         let tries = tries.clone();
-        Ok(answer(&parts, self.body(trail, run, events, tries)))
+        Ok(answer(&parts, self.body(closing, run, events, tries)))
     }
 
     fn started(&self, job: &Job, run: &mut Run) {
@@ -188,13 +189,13 @@
         self.shared.metrics.first_after(&job.admission.route.name, waited);
     }
 
-    fn body(self: Arc<Self>, trail: Trail, run: Run, first: Events, mut tries: Tries) -> Body {
+    fn body(self: Arc<Self>, closing: Closing, run: Run, first: Events, mut tries: Tries) -> Body {
         let pieces = stream! {
             // Whole, so that it is dropped (and logged) with the stream.
-            let mut trail = trail;
-            let job = trail.job.clone();
+            let mut closing = closing;
+            let job = closing.job.clone();
             let mut run = run;
-            trail.events += first.ids.len();
+            closing.events += first.ids.len();
             if !first.bytes.is_empty() {
                 yield Ok(Frame::data(first.bytes));
             }
@@ -202,12 +203,12 @@
             loop {
                 match run.next(&job, &self.shared).await {
                     Piece::Events(events) => {
-                        trail.events += events.ids.len();
+                        closing.events += events.ids.len();
                         run.tell(self.shared.now(), &events);
                         yield Ok(Frame::data(events.bytes));
                     }
                     Piece::End => {
-                        trail.outcome = "ok";
+                        closing.outcome = "ok";
                         run.finish(&self);
                         return;
                     }
@@ -216,15 +217,15 @@
                         match self.resume(&job, last, &mut tries).await {
                             Some(next) => run = next,
                             None => {
-                                trail.outcome = "broken";
+                                closing.outcome = "broken";
                                 yield Err(Cut);
                                 return;
                             }
                         }
-                        trail.runs += 1;
+                        closing.runs += 1;
                     }
                     Piece::Over => {
-                        trail.outcome = "over";
+                        closing.outcome = "over";
                         yield Err(Cut);
                         return;
                     }
@@ -246,7 +247,7 @@
             tries,
             last,
         };
-        let mut run = course::run(&mut resume).await.ok()?;
+        let mut run = attempts::run(&mut resume).await.ok()?;
         tracing::info!(
             event = "stream-resumed",
             request = job.head.id,
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -10,15 +10,15 @@
 use std::time::Duration;
 
 use radishstair_core::gate::share::{self, Share, Source};
-use radishstair_core::gate::{WAY_ASKED, mirror};
+use radishstair_core::gate::{STORE_ASKED, mirror};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 use tokio::sync::mpsc;
 
 use super::beliefs::Beliefs;
-use super::dialect::Page;
-use super::records::{self, COUNTS};
-use super::store::{Asked, Asker};
+use super::call::{self, LIMIT};
+use super::records::{self, COUNTS, Own, PREFIX};
+use super::store::Asker;
 use super::{Shared, changes};
 use crate::upstream::pool::Pool;
 
@@ -41,24 +41,10 @@
 /// store's link full, and each other from reading; runners that leave must get nothing
 /// new after two seconds.
 const LISTED: Duration = Duration::from_millis(1_600);
-/// Keys of a page that are asked for.
-pub const LIMIT: u32 = 500;
 /// Times that a host which has just started asks a peer before it reads a long list
 /// itself: the peer may have just started, too, and be reading.
 const DEFERRED: u32 = 3;
 
-/// The keys that hosts of this system write, as one round read them.
-#[derive(Clone, Debug)]
-pub struct Own {
-    /// Moment as of which they stood.
-    pub as_of: Moment,
-    /// All keys under [`PREFIX`].
-    pub entries: Vec<Entry>,
-}
-
-/// Prefix of this system's own keys.
-pub const PREFIX: &str = "radishstair/";
-
 /// Reads round after round until `own` is closed.
 pub async fn run(shared: Arc<Shared>, store: Arc<Asker>, runners: Arc<Pool>, own: mpsc::Sender<Own>) {
     let mut reader = Reader {
@@ -207,7 +193,7 @@
     async fn read_document(&mut self) -> bool {
         let sent = self.shared.now();
         let key = self.shared.dialect.keys().document.to_string();
-        let page = ask(&self.shared, &self.store, &Call::Get { key }, PAGE).await;
+        let page = call::ask(&self.shared, &self.store, &Call::Get { key }, PAGE).await;
         let Answer::Found(entries) = page.answer else {
             return false;
         };
@@ -231,7 +217,7 @@
                 after: after.clone(),
                 limit: LIMIT,
             };
-            let page = ask(&self.shared, &self.store, &call, PAGE).await;
+            let page = call::ask(&self.shared, &self.store, &call, PAGE).await;
             let Answer::Found(mut entries) = page.answer else {
                 return false;
             };
@@ -351,35 +337,13 @@
 
 /// Asks the store now and then whether it still answers this host, where nothing
 /// else has asked it.
-pub async fn watch_way(shared: Arc<Shared>, store: Arc<Asker>) {
+pub async fn watch_store(shared: Arc<Shared>, store: Arc<Asker>) {
     loop {
         let now = shared.now();
         let key = shared.dialect.keys().document.to_string();
-        if !shared.state().way.covers(now, WAY_ASKED) {
-            ask(&shared, &store, &Call::Peek { key }, PAGE).await;
+        if !shared.state().store_answered.covers(now, STORE_ASKED) {
+            call::ask(&shared, &store, &Call::Peek { key }, PAGE).await;
         }
-        tokio::time::sleep(WAY_ASKED / 4).await;
-    }
-}
-
-/// Asks the store and counts what came of it.
-pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
-    let asked = shared.now();
-    let address = shared.settings.load().store;
-    let request = shared.dialect.call(call);
-    let unanswered = |answer| Page {
-        answer,
-        more: false,
-        revision: 0,
-    };
-    let page = match asker.ask(address, request, limit).await {
-        Asked::Answer(status, body) => shared.dialect.answer(call, status, &body),
-        Asked::Never => unanswered(Answer::Refused),
-        Asked::Lost => unanswered(Answer::Lost),
-    };
-    if !matches!(page.answer, Answer::Refused | Answer::Lost) {
-        shared.state().way.renew(asked);
+        tokio::time::sleep(STORE_ASKED / 4).await;
     }
-    shared.metrics.platform_call(call.name(), page.answer.outcome());
-    page
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -19,7 +19,7 @@
 use radishstair_core::time::Moment;
 use radishstair_wire::http;
 
-pub mod course;
+pub mod attempts;
 pub mod line;
 pub mod pool;
 
--- a/crates/entry/src/upstream/course.rs
+++ b/crates/entry/src/upstream/attempts.rs
@@ -1,7 +1,7 @@
 //! A request's way over runners, one after the other, until one of them answers.
 //!
 //! Both fronts send through [`run`]. What differs between them (how a runner is found,
-//! what is sent, what counts as an answer) is a [`Course`]; whether one more runner may
+//! what is sent, what counts as an answer) is an [`Attempts`]; whether one more runner may
 //! follow is decided in [`radishstair_core::repeat`].
 
 use radishstair_core::repeat::Fault;
@@ -16,7 +16,7 @@
 }
 
 /// One request on its way.
-pub trait Course {
+pub trait Attempts {
     /// A place at a runner; dropping it gives it back.
     type Place: Send;
     /// What the caller gets.
@@ -42,15 +42,15 @@
 /// # Errors
 ///
 /// What the caller gets instead of an answer.
-pub async fn run<C: Course>(course: &mut C) -> Result<C::Answer, C::End> {
+pub async fn run<A: Attempts>(attempts: &mut A) -> Result<A::Answer, A::End> {
     loop {
-        let place = course.place().await?;
-        let fault = match course.attempt(place).await {
+        let place = attempts.place().await?;
+        let fault = match attempts.attempt(place).await {
             Ok(answer) => return Ok(answer),
             Err(Stop::Over(end)) => return Err(end),
             Err(Stop::Failed(fault)) => fault,
         };
-        if let Some(end) = course.fail(fault) {
+        if let Some(end) = attempts.fail(fault) {
             return Err(end);
         }
     }
--- a/tests/suite/gate/freshness.rs
+++ b/tests/suite/gate/freshness.rs
@@ -90,13 +90,13 @@
 fn a_host_without_its_own_way_to_the_store_hands_its_callers_over() {
     let mut state = state(at(0), vec![customer("ana", &["key-a"])]);
     state.fleet.list(at(0), Vec::new());
-    state.way.renew(at(0));
+    state.store_answered.renew(at(0));
     assert!(state.is_ready(at(2_000)) && !state.hands_over(at(2_000)));
     state.proof.renew(at(2_600));
     assert!(!state.is_ready(at(2_700)) && state.hands_over(at(2_700)));
     assert!(state.admit(at(2_700), &ask("key-a")).is_ok(), "it refuses nobody");
     assert!(!state.hands_over(at(6_000)), "its peers have no proof either");
-    state.way.renew(at(6_100));
+    state.store_answered.renew(at(6_100));
     state.proof.renew(at(6_100));
     assert!(state.is_ready(at(6_200)) && !state.hands_over(at(6_200)));
 }
--- a/tests/suite/gate/model.rs
+++ b/tests/suite/gate/model.rs
@@ -7,7 +7,7 @@
 
 use radishstair_core::gate::State;
 use radishstair_core::gate::fleet::{Key, Listed};
-use radishstair_core::gate::load::Flow;
+use radishstair_core::gate::gossip::Flow;
 use radishstair_core::gate::place::{Choice, Demand, Part};
 use radishstair_core::time::Moment;
 use rand::{RngExt, SeedableRng};
--- a/tests/suite/gate/place.rs
+++ b/tests/suite/gate/place.rs
@@ -1,12 +1,12 @@
 //! Where requests go under load.
 
 use radishstair_core::gate::State;
-use radishstair_core::gate::fleet::{Fleet, Key, Listed, Runner, Sign};
-use radishstair_core::gate::load::{self, Meter, Peers, Row};
-use radishstair_core::gate::memory::Memory;
+use radishstair_core::gate::fleet::{Fleet, Key, Listed, Load, Runner, Sign};
+use radishstair_core::gate::gossip::{self, Meter, Peers};
 use radishstair_core::gate::pace::Pace;
 use radishstair_core::gate::parting::{self, Parting};
 use radishstair_core::gate::place::{self, Choice, Demand, Known, Part};
+use radishstair_core::gate::prefix::Index;
 use radishstair_core::id::Incarnation;
 use radishstair_core::time::Moment;
 use std::time::Duration;
@@ -32,10 +32,10 @@
     fleet
 }
 
-fn choose(fleet: &Fleet, memory: &Memory, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
+fn choose(fleet: &Fleet, memory: &Index, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
     let known = Known {
         fleet,
-        memory,
+        prefixes: memory,
         pace: &Pace::default(),
         parting: &Parting::default(),
     };
@@ -74,7 +74,7 @@
 #[test]
 fn long_and_short_prompts_go_apart() {
     let fleet = fleet(14);
-    let memory = Memory::default();
+    let memory = Index::default();
     for subject in 10..60 {
         let long = choose(&fleet, &memory, at(1), &demand(12_000, subject), &[]).expect("one");
         let short = choose(&fleet, &memory, at(1), &demand(800, subject), &[]).expect("one");
@@ -89,7 +89,7 @@
 #[test]
 fn a_burst_of_long_prompts_crosses_over() {
     let mut fleet = fleet(6);
-    let memory = Memory::default();
+    let memory = Index::default();
     let mut crossed = 0;
     for subject in 0..200 {
         let choice = choose(&fleet, &memory, at(1), &demand(12_000, subject), &[]).expect("one");
@@ -104,7 +104,7 @@
 #[test]
 fn hosts_agree_on_the_home_of_a_subject() {
     let (one, other) = (fleet(14), fleet(14));
-    let memory = Memory::default();
+    let memory = Index::default();
     for subject in 0..100 {
         let demand = demand(12_000, subject);
         let home = |fleet: &Fleet| {
@@ -128,14 +128,14 @@
         state.fleet.get(choice.key).expect("known").listed.id.clone()
     };
     let first: Vec<_> = wanted.iter().map(|demand| place(&mut one, demand, 1)).collect();
-    let news = one.news(at(2), Incarnation(1), 1);
-    let mut told: Vec<u64> = news.readings.iter().map(|reading| reading.subject).collect();
+    let packet = one.packet(at(2), Incarnation(1), 1);
+    let mut told: Vec<u64> = packet.holders.iter().map(|holder| holder.subject).collect();
     told.sort_unstable();
     told.dedup();
     // The first part, which all of them share, is told as well.
     let subjects = std::iter::once(1).chain(100..200);
     assert_eq!(told, subjects.collect::<Vec<u64>>(), "each subject is told");
-    other.hear(at(3), Incarnation(2), news);
+    other.hear(at(3), Incarnation(2), packet);
     for state in [&mut one, &mut other] {
         state.fleet.list(at(4), listed(20));
         let then: Vec<_> = wanted.iter().map(|demand| place(state, demand, 5)).collect();
@@ -164,7 +164,7 @@
 #[test]
 fn a_hot_subject_spreads_over_a_few_runners() {
     let mut fleet = fleet(14);
-    let mut memory = Memory::default();
+    let mut memory = Index::default();
     let mut used = Vec::new();
     for _ in 0..40 {
         let demand = demand(12_000, 5);
@@ -263,7 +263,7 @@
 /// Requests of 300 that one of six runners gets which fails four of ten at once.
 fn sent_to_a_grey_runner(prompt: u64, judges: bool) -> u32 {
     let mut fleet = fleet(6);
-    let memory = Memory::default();
+    let memory = Index::default();
     let mut draws = ChaCha8Rng::seed_from_u64(4);
     let mut running = std::collections::VecDeque::new();
     // In the host's zone and kept for long prompts, so that both kinds may go there.
@@ -313,7 +313,7 @@
     let mut mine = fleet(4);
     let mut peers = Peers::default();
     let (me, peer) = (Incarnation(1), Incarnation(2));
-    let news = |number, fleet: &Fleet| load::news(peer, number, fleet, Vec::new());
+    let news = |number, fleet: &Fleet| gossip::packet(peer, number, fleet, Vec::new());
     peers.hear(at(0), me, news(2, &busy), &mut mine, 2);
     let load = |fleet: &Fleet| {
         let runner = fleet.get(target).expect("known");
@@ -326,10 +326,10 @@
         (1, Duration::from_millis(50), 60_000),
         "old news says nothing"
     );
-    let third = load::news(Incarnation(3), 1, &fleet(4), Vec::new());
+    let third = gossip::packet(Incarnation(3), 1, &fleet(4), Vec::new());
     peers.hear(at(60_000), me, third, &mut mine, 2);
     assert_eq!(load(&mine), (0, Duration::ZERO, 0), "a silent peer is forgotten");
-    assert_eq!(Row::default().running, 0);
+    assert_eq!(Load::default().running, 0);
 }
 
 /// The order for runners follows the work of the last seconds, not of hours.
