A zone's own hosts are told first: load is fresher where requests go

Requests stay in their zone now, so it is the zone's own load that matters.

Up to ten hosts all is as before. Tests: a_zones_own_hosts_are_told_first, and for quiet zones a_zone_that_falls_silent_is_no_source_and_no_way.

--- a/crates/core/src/gate/gossip.rs
+++ b/crates/core/src/gate/gossip.rs
@@ -17,8 +17,12 @@
 /// Hosts up to which the interval is kept; with more it slows down in proportion, so
 /// that a host hears no more than 50 datagrams a second.
 const FEW: u32 = 10;
+/// Packets of which one goes to other zones as well, where there are more hosts.
+const FAR_EVERY: u64 = 4;
 /// Packets between two usage records.
-pub const RECORD_EVERY: u64 = 5;
+const RECORD_EVERY: u64 = 5;
+/// Packets to other zones between two usage records.
+const RECORD_EVERY_FAR: u64 = 3;
 /// Intervals after which a zone from whose hosts nothing comes may be cut off.
 const QUIET: u32 = 3;
 /// Intervals after which a silent host is forgotten.
@@ -111,6 +115,32 @@
     INTERVAL * hosts.div_ceil(FEW).max(1)
 }
 
+/// Time between the packets of a host that has so many others in its zone, itself included.
+///
+/// Most of a zone's requests stay there, so it is the zone's own load that has to be known
+/// well. With hundreds of hosts, telling all of them alike made news seconds old.
+pub fn pause(near: u32, hosts: u32) -> Duration {
+    interval(near.min(hosts))
+}
+
+/// Whether the packet of this number goes to the hosts of other zones as well.
+pub fn goes_far(number: u64, hosts: u32) -> bool {
+    hosts <= FEW || number.is_multiple_of(FAR_EVERY)
+}
+
+/// Whether the packet of this number carries the usage record.
+pub fn has_record(number: u64) -> bool {
+    number.is_multiple_of(RECORD_EVERY)
+}
+
+/// The same of a packet that goes to other zones.
+pub fn has_record_far(number: u64, hosts: u32) -> bool {
+    match hosts <= FEW {
+        true => has_record(number),
+        false => number.is_multiple_of(FAR_EVERY * RECORD_EVERY_FAR),
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Moment,
--- a/tests/suite/gate/place.rs
+++ b/tests/suite/gate/place.rs
@@ -217,6 +217,74 @@
     }
 }
 
+/// A zone is cut off without a sign. Runners that are told to copy from it wait a part of a
+/// second for each request, and each request sent there waits for a connection. Its hosts fall
+/// silent first: from then on it is no source, and what would go there stays.
+#[test]
+fn a_zone_that_falls_silent_is_no_source_and_no_way() {
+    let mut state = host(4);
+    let hear = |state: &mut State, number, ms| {
+        let far = Fleet::new("zone-1");
+        let packet = gossip::packet(Incarnation(7), number, &far, Vec::new());
+        state.hear(at(ms), Incarnation(1), packet);
+    };
+    hear(&mut state, 1, 0);
+    // Only the other zone's runners have read it.
+    let near: Vec<Key> = ["r0", "r2"]
+        .map(|id| state.fleet.find(id).expect("known"))
+        .to_vec();
+    let first = state.place(at(1), &demand(12_000, 5), &near).expect("one");
+    assert_eq!(state.fleet.get(first.key).expect("known").listed.zone, "zone-1");
+    let far: Vec<Key> = ["r1", "r3"]
+        .map(|id| state.fleet.find(id).expect("known"))
+        .to_vec();
+    hear(&mut state, 2, 2_000);
+    let heard = state.place(at(2_100), &demand(12_000, 5), &far).expect("one");
+    assert_eq!(heard.source, Some(first.key), "while its hosts are heard");
+    let mut again = host(4);
+    hear(&mut again, 1, 0);
+    again.place(at(1), &demand(12_000, 5), &near).expect("one");
+    let silent = again.place(at(2_100), &demand(12_000, 5), &far).expect("one");
+    assert_eq!(silent.source, None, "once they are silent");
+    let plain = Demand {
+        prompt: 0,
+        parts: Vec::new(),
+        ..demand(1_000, 5)
+    };
+    for key in near {
+        // No place is free near by.
+        (0..20).for_each(|_| again.fleet.begin(key, 0, 0));
+    }
+    let runner = |state: &State, key| state.fleet.get(key).expect("known").listed.zone.clone();
+    let choice = again.place(at(2_200), &plain, &[]).expect("one");
+    assert_eq!(runner(&again, choice.key), "zone-0");
+    hear(&mut again, 3, 2_300);
+    let choice = again.place(at(2_301), &plain, &[]).expect("one");
+    assert_eq!(runner(&again, choice.key), "zone-1", "heard again");
+}
+
+/// Eighty hosts in three zones, all told alike, know each other's load when it is seconds
+/// old, and choose the same runners. A zone's own hosts are told more often, other zones
+/// less, and nobody hears more than twice as much as where all are told alike.
+#[test]
+fn a_zones_own_hosts_are_told_first() {
+    assert_eq!(gossip::pause(8, 8), gossip::interval(8), "few hosts tell all");
+    assert!((1..=20).all(|number| gossip::goes_far(number, 8)));
+    let (near, hosts) = (27, 80);
+    let pause = gossip::pause(near, hosts);
+    assert!(pause * 2 < gossip::interval(hosts));
+    let far_packets = (1..=240)
+        .filter(|number| gossip::goes_far(*number, hosts))
+        .count() as f64;
+    let part_far = far_packets / 240.0;
+    let heard = (f64::from(near - 1) + f64::from(hosts - near) * part_far) / pause.as_secs_f64();
+    let alike = f64::from(hosts - 1) / gossip::interval(hosts).as_secs_f64();
+    assert!(heard < alike * 2.0, "{heard} packets a second for {alike}");
+    let records = (1..=240).filter(|number| gossip::has_record_far(*number, hosts));
+    assert!(records.clone().count() >= 16);
+    assert!(records.clone().all(|number| gossip::goes_far(number, hosts)));
+}
+
 /// Two requests about a new subject come together. What the first runner is just reading
 /// cannot be copied yet; the second one follows it there instead of reading it elsewhere.
 #[test]
