Dependable runners in the place of dear reclaimable ones stand in all zones; planning in steps

At seven tenths of the price and above dependable runners are all there are; they were ordered into the two cheapest zones, and below a zone's least number. Now they are spread over all zones. plan() is split; nothing else changes.

--- a/crates/core/src/gate/place.rs
+++ b/crates/core/src/gate/place.rs
@@ -196,6 +196,7 @@
         let anew = if home == Some(*key) { 0 } else { shared - readable };
         let shares = COPY * (readable - kept) as f64 + REREAD * anew as f64;
         let cost = shares / 1e3 * known.pace.for_thousand()
+            // Relative to the others, so that it does not count twice what the pace knows.
             + waiting(known, runner, work) * runner.lag / usual_lag
             + parting::crossing(known.parting, is_long, runner.long, f64::from(runner.load()))
             + FAILURE * runner.failing
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -43,6 +43,8 @@
 const AGAIN: Duration = Duration::from_millis(1_500);
 /// Longest pause; it doubles with each refusal.
 const AGAIN_MOST: Duration = Duration::from_secs(6);
+/// Refusals in a row that are told apart.
+const REFUSED_MOST: u32 = 8;
 /// Time beyond the usual boot after which a runner that was ordered is not expected any more.
 const OVERDUE: Duration = Duration::from_millis(1_500);
 /// Time after which an order that stands is said again: an order whose answer
@@ -250,44 +252,55 @@
             .collect();
         let needed = self.needed(now, service, &zones, price, flow);
         let count = zones.len() as u32;
-        let cheap = if price < CHEAP { needed.usual } else { 0 };
-        let least = if price < CHEAP { scaling.least } else { 0 };
-        let each = cheap.div_ceil(count).clamp(least, scaling.most);
-        // Those that boot will carry their part; until they do, none is given back for them.
-        let expected: u32 = zones
-            .iter()
-            .map(|zone| self.expected(now, service, scaling, zone))
-            .sum();
-        let here: u32 = zones.iter().map(|zone| zone.cheap).sum();
-        let dependable: u32 = zones.iter().map(|zone| zone.dependable).sum();
-        let urgent = if price < CHEAP {
-            needed.urgent
+        let is_cheap = price < CHEAP;
+        let (each, mut lacking, parts) = if is_cheap {
+            let each = needed.usual.div_ceil(count);
+            let lacking = self.lacking(now, service, scaling, &zones, needed.urgent);
+            // Not all in one zone, if there are others: it may be cut off next.
+            (each.clamp(scaling.least, scaling.most), lacking, count.min(2))
         } else {
-            needed.usual
+            (0, needed.usual.max(scaling.least * count), count)
         };
-        let lacking_then = urgent.saturating_sub(expected);
-        let lacking_now = urgent.saturating_sub(here).min(dependable);
-        let mut lacking = lacking_then.max(lacking_now);
-        // Not all in one zone, if there are others: it may be cut off next.
-        let most = lacking.div_ceil(count.min(2));
+        let most = lacking.div_ceil(parts);
         for zone in zones {
             // A zone's bound holds for both kinds together; cheap runners that
             // are there must not give way to dependable ones.
             let room = scaling.most.saturating_sub(zone.cheap);
             let dependable = lacking.min(most).min(room);
             lacking -= dependable;
-            let kind = |reclaimable| Kind {
-                service: service.name.clone(),
-                zone: zone.name.clone(),
-                reclaimable,
-            };
-            self.targets.of(kind(false)).want(dependable);
-            self.targets
-                .of(kind(true))
-                .want(each.min(scaling.most - dependable));
+            let cheap = each.min(scaling.most - dependable);
+            for (reclaimable, wanted) in [(false, dependable), (true, cheap)] {
+                let kind = Kind {
+                    service: service.name.clone(),
+                    zone: zone.name.clone(),
+                    reclaimable,
+                };
+                self.targets.of(kind).want(wanted);
+            }
         }
     }
 
+    /// Runners that reclaimable ones cannot make up for.
+    ///
+    /// Those that boot will carry their part; until they do, no dependable one that is there
+    /// is given back for them.
+    fn lacking(
+        &mut self,
+        now: Moment,
+        service: &Service,
+        scaling: &Scaling,
+        zones: &[Zone],
+        urgent: u32,
+    ) -> u32 {
+        let expected = zones
+            .iter()
+            .map(|zone| self.expected(now, service, scaling, zone));
+        let after_boot = urgent.saturating_sub(expected.sum());
+        let here: u32 = zones.iter().map(|zone| zone.cheap).sum();
+        let dependable: u32 = zones.iter().map(|zone| zone.dependable).sum();
+        after_boot.max(urgent.saturating_sub(here).min(dependable))
+    }
+
     /// Reclaimable runners of a zone that are there or will be after a boot.
     fn expected(&mut self, now: Moment, service: &Service, scaling: &Scaling, zone: &Zone) -> u32 {
         let target = self.targets.of(Kind {
@@ -349,9 +362,6 @@
     }
 }
 
-/// Refusals in a row that are told apart.
-const REFUSED_MOST: u32 = 8;
-
 /// Zones, the cheapest first.
 fn by_price(scaling: &Scaling) -> Vec<&String> {
     let mut zones: Vec<(&String, f64)> = scaling
