--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use prost::Message;
 use radishstair_core::gate::gossip::{self, Holder, Packet};
@@ -26,43 +27,19 @@
     let socket = Arc::new(socket);
     let far = Far::default();
     tokio::spawn(hear(shared.clone(), socket.clone(), far.clone()));
-    let mut number = 0;
-    let mut idle = false;
-    // What other zones were not told yet.
-    let mut untold: Vec<Holder> = Vec::new();
+    let mut teller = Teller {
+        shared: shared.clone(),
+        socket: socket.clone(),
+        number: 0,
+        near_knows_idle: false,
+        far_knows_idle: false,
+        untold: Vec::new(),
+    };
     loop {
-        number += 1;
         let beyond = far.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let now = shared.now();
-        let (mut packet, hosts) = {
-            let mut state = shared.state();
-            (state.packet(now, shared.me, number), state.hosts)
-        };
-        // Writing text and numbers as JSON cannot fail.
-        let record = || serde_json::to_vec(&shared.record(false)).unwrap_or_default();
-        if gossip::has_record(number) {
-            packet.record = record();
-        }
-        untold.extend(packet.holders.iter().copied());
-        untold.truncate(UNTOLD);
-        let is_far = |peer: &SocketAddr| beyond.binary_search(peer).is_ok();
-        // That nothing runs any more is said once.
-        let says_more = !packet.record.is_empty() || !packet.holders.is_empty();
-        if !packet.loads.is_empty() || says_more || !idle {
-            idle = packet.loads.is_empty();
-            send(&shared, &socket, &packet, |peer| !is_far(peer)).await;
-            if gossip::goes_far(number, hosts) {
-                packet.holders = std::mem::take(&mut untold);
-                packet.record.clear();
-                if gossip::has_record_far(number, hosts) {
-                    packet.record = record();
-                }
-                send(&shared, &socket, &packet, is_far).await;
-            }
-        }
+        let pause = teller.tell(&beyond).await;
         // What was found is told at once, and does not put the next packet off.
-        let near = shared.peers.load().iter().filter(|peer| !is_far(peer)).count();
-        let next = tokio::time::sleep(gossip::pause(near as u32, hosts));
+        let next = tokio::time::sleep(pause);
         tokio::pin!(next);
         loop {
             tokio::select! {
@@ -73,6 +50,64 @@
     }
 }
 
+/// Tells the others, those of this zone more often.
+struct Teller {
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    number: u64,
+    /// Whether those of this zone were told that nothing runs; that is said once.
+    near_knows_idle: bool,
+    /// The same of other zones.
+    far_knows_idle: bool,
+    /// What other zones were not told yet.
+    untold: Vec<Holder>,
+}
+
+impl Teller {
+    /// Sends what is due; the time until the next packet.
+    async fn tell(&mut self, beyond: &[SocketAddr]) -> Duration {
+        self.number += 1;
+        let now = self.shared.now();
+        let (mut packet, hosts) = {
+            let mut state = self.shared.state();
+            (state.packet(now, self.shared.me, self.number), state.hosts)
+        };
+        packet.record = self.record(gossip::has_record(self.number));
+        self.untold.extend(packet.holders.iter().copied());
+        self.untold.truncate(UNTOLD);
+        let is_far = |peer: &SocketAddr| beyond.binary_search(peer).is_ok();
+        if says_something(&packet) || !self.near_knows_idle {
+            self.near_knows_idle = packet.loads.is_empty();
+            send(&self.shared, &self.socket, &packet, |peer| !is_far(peer)).await;
+        }
+        if gossip::goes_far(self.number, hosts) {
+            packet.holders = std::mem::take(&mut self.untold);
+            packet.record = self.record(gossip::has_record_far(self.number, hosts));
+            if says_something(&packet) || !self.far_knows_idle {
+                self.far_knows_idle = packet.loads.is_empty();
+                send(&self.shared, &self.socket, &packet, is_far).await;
+            }
+        }
+        let peers = self.shared.peers.load();
+        let near = peers.iter().filter(|peer| !is_far(peer)).count();
+        gossip::pause(near as u32, hosts)
+    }
+
+    /// The usage record of this run, if it is due.
+    fn record(&self, is_due: bool) -> Vec<u8> {
+        if !is_due {
+            return Vec::new();
+        }
+        // Writing text and numbers as JSON cannot fail.
+        serde_json::to_vec(&self.shared.record(false)).unwrap_or_default()
+    }
+}
+
+/// Whether a packet tells more than that nothing runs.
+fn says_something(packet: &Packet) -> bool {
+    !packet.loads.is_empty() || !packet.record.is_empty() || !packet.holders.is_empty()
+}
+
 fn nudge(shared: &Shared) -> Packet {
     Packet {
         incarnation: shared.me.0,
