--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -366,7 +366,7 @@
     ///
     /// A straggler tells nothing of the others, so it does not slow the common pace down.
     pub fn first_event(&mut self, key: Key, outlook: &Outlook, took: Duration) {
-        let Some(runner) = self.fleet.learn(key) else {
+        let Some(runner) = self.fleet.get_mut(key) else {
             return;
         };
         let service = runner.listed.service.clone();
--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -195,8 +195,8 @@
         runner.is_some_and(|runner| runner.is_open(now) && runner.since <= since)
     }
 
-    /// A runner by key, to learn of it.
-    pub fn learn(&mut self, key: Key) -> Option<&mut Runner> {
+    /// The same, to change what is believed of it.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Runner> {
         self.arena.get_mut(key.index())
     }
 
--- a/crates/core/src/gate/pace.rs
+++ b/crates/core/src/gate/pace.rs
@@ -15,9 +15,15 @@
 use super::fit::Fit;
 use crate::id::digest;
 
-/// Assumed until answers tell: milliseconds until the first event of an empty prompt, for
-/// a thousand tokens, for a million pairs of tokens, for each request beside, and for the
-/// way to another zone.
+/// What the time until the first event depends on, by place in [`FIRST`]: a fixed part, a
+/// thousand tokens to read, a million pairs of them to compare, a request beside, and the way
+/// to another zone.
+const FIXED: usize = 0;
+const TOKENS: usize = 1;
+const PAIRS: usize = 2;
+const BESIDE: usize = 3;
+const FAR: usize = 4;
+/// Milliseconds assumed for each of them until answers tell.
 const FIRST: [f64; 5] = [40.0, 16.0, 0.4, 0.3, 2.0];
 /// How certain that is.
 const FIRST_CERTAINTY: [f64; 5] = [3.0, 20.0, 200.0, 200.0, 20.0];
@@ -25,6 +31,8 @@
 /// request beside it.
 const WRITING: [f64; 2] = [30.0, 1.0];
 const WRITING_CERTAINTY: [f64; 2] = [5.0, 500.0];
+/// Assumed time that a request stays on its runner, in milliseconds.
+const STAY: f64 = 1_000.0;
 /// Assumed stall of a stream beside which a long prompt is read, in milliseconds.
 const STALL: f64 = 250.0;
 /// Part of pauses beside a long prompt that are shorter than the stall that is told.
@@ -89,7 +97,7 @@
             first: Fit::new(FIRST, FIRST_CERTAINTY),
             writing: Fit::new(WRITING, WRITING_CERTAINTY),
             stall: STALL,
-            stay: 1_000.0,
+            stay: STAY,
         }
     }
 }
@@ -98,22 +106,22 @@
     /// Time to read a prompt of which the first `kept` tokens are in memory.
     pub fn reading(&self, prompt: u64, kept: u64) -> Duration {
         let (tokens, pairs) = reading(prompt, kept);
-        millis(tokens * self.for_thousand() + pairs * self.first.coefficient(2))
+        millis(tokens * self.for_thousand() + pairs * self.first.coefficient(PAIRS))
     }
 
     /// Milliseconds to read a thousand tokens of a short prompt.
     pub fn for_thousand(&self) -> f64 {
-        self.first.coefficient(1).max(READING_LEAST)
+        self.first.coefficient(TOKENS).max(READING_LEAST)
     }
 
     /// Milliseconds that each request on a runner adds to the first event of another.
     pub fn for_each_beside(&self) -> f64 {
-        self.first.coefficient(3)
+        self.first.coefficient(BESIDE)
     }
 
     /// Milliseconds that the way to another zone adds.
     pub fn for_crossing(&self) -> f64 {
-        self.first.coefficient(4)
+        self.first.coefficient(FAR)
     }
 
     /// Pause between two events of a stream beside so many requests, while no prompt is read.
@@ -128,7 +136,7 @@
 
     /// Time until the first event of an empty prompt on an idle runner.
     pub fn first(&self) -> Duration {
-        millis(self.first.coefficient(0))
+        millis(self.first.coefficient(FIXED))
     }
 
     /// Time that a request stays on its runner.
--- a/tests/suite/gate/model.rs
+++ b/tests/suite/gate/model.rs
@@ -117,7 +117,15 @@
     engines: Vec<Engine>,
     keys: Vec<Option<Key>>,
     running: Vec<Running>,
-    outcome: (u32, u32, Vec<u32>),
+    seen: Seen,
+}
+
+/// What was counted so far.
+#[derive(Default)]
+struct Seen {
+    asked: u32,
+    timely: u32,
+    at: Vec<u32>,
 }
 
 impl Play {
@@ -132,7 +140,10 @@
             engines: (0..count).map(|_| Engine::default()).collect(),
             keys: vec![None; count],
             running: Vec::new(),
-            outcome: (0, 0, vec![0; count]),
+            seen: Seen {
+                at: vec![0; count],
+                ..Seen::default()
+            },
             play: self,
         };
         let mut highest = world.state.flow(Moment::at_ms(0), SERVICE);
@@ -143,11 +154,10 @@
                 highest = flow;
             }
         }
-        let (asked, timely, at) = world.outcome;
         Outcome {
-            asked,
-            timely,
-            at,
+            asked: world.seen.asked,
+            timely: world.seen.timely,
+            at: world.seen.at,
             state: world.state,
             flow: highest,
         }
@@ -187,7 +197,7 @@
         let draw = self.rng.random();
         let demand = demand((self.play.subject)(draw), self.rng.random());
         let Some(choice) = self.state.place(moment(ms), &demand, &[]) else {
-            self.outcome.0 += 1;
+            self.seen.asked += 1;
             return;
         };
         let at = self.keys.iter().position(|key| *key == Some(choice.key));
@@ -201,8 +211,8 @@
         let reading = tokens as f64 / 1e3 * self.play.reads_in_ms[at];
         engine.free = engine.free.max(ms as f64) + reading;
         let first = (engine.free + FIRST_MS) as u64;
-        self.outcome.0 += 1;
-        self.outcome.2[at] += 1;
+        self.seen.asked += 1;
+        self.seen.at[at] += 1;
         self.running.push(Running {
             choice,
             demand,
@@ -218,11 +228,11 @@
             if run.first.is_some_and(|first| first <= ms) {
                 run.first = None;
                 let took = Duration::from_millis(ms - run.sent);
-                self.outcome.1 += u32::from(took.as_millis() as u64 <= self.play.target_ms);
+                self.seen.timely += u32::from(took.as_millis() as u64 <= self.play.target_ms);
                 self.state.fleet.read(run.choice.key, run.choice.work);
                 self.state.first_event(run.choice.key, &run.choice.outlook, took);
                 if !self.play.judges_engines {
-                    self.state.fleet.learn(run.choice.key).expect("known").lag = 1.0;
+                    self.state.fleet.get_mut(run.choice.key).expect("known").lag = 1.0;
                 }
             }
         }
