One table by service, one builder of priced engines, the middle lag without a sort

Cause, found by reading the whole change again: paces, partings, budgets and peaks each kept a sorted list by service with the same find-or-insert, two of them looked up for every event of a stream; the runners that a planner found were kept in a series of peaks of which only the first value was ever there; the middle of all lags was sorted for on each request; a target's kind was spelt out in three places; three tests built the same priced engines; runners were got from the arena by index in seven places beside get_mut. The comment at TOLD gave a time that was not that of 100 tokens.

Change: gate::services::Services serves all four; Peak keeps a moment and a number; the middle is selected, not sorted for; Kind::new; build::priced; get_mut. No assertion or expectation is touched.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -25,6 +25,7 @@
 pub mod proof;
 pub mod report;
 pub mod route;
+pub mod services;
 pub mod share;
 pub mod supply;
 pub mod tally;
@@ -32,12 +33,13 @@
 use budget::Budgets;
 use fleet::{Fleet, Key, Listed};
 use gossip::{Flow, Holder, Meter, Packet, Peers};
-use pace::{Outlook, Paces};
+use pace::{Outlook, Pace};
 use parting::Parting;
 use place::{Choice, Demand, Known};
 use prefix::Index;
 use proof::Proof;
 use route::{Route, Table};
+use services::Services;
 use tally::{Ledger, Tally};
 
 plain! {
@@ -79,8 +81,8 @@
 /// answers it.
 pub const STORE_ASKED: Duration = Duration::from_millis(1_000);
 
-/// Tokens from which a subject's place is told to the other hosts: 16 bytes a request
-/// and host, where reading it again takes an engine 15 ms or more.
+/// Tokens from which a subject's place is told to the other hosts: telling takes 16 bytes a
+/// request and host.
 const TOLD: u64 = 100;
 /// Most places told at once.
 const HOLDERS: usize = 256;
@@ -152,9 +154,9 @@
     /// What other hosts have on runners.
     pub peers: Peers,
     /// How fast runners are.
-    pub paces: Paces,
-    /// How the runners of each service are divided, by its name.
-    partings: Vec<(String, Parting)>,
+    pub paces: Services<Pace>,
+    /// How the runners of each service are divided.
+    partings: Services<Parting>,
     /// What this host sends.
     pub meter: Meter,
     /// Where long beginnings went since the last packet.
@@ -180,8 +182,8 @@
             fleet: Fleet::new(zone),
             prefixes: Index::default(),
             peers: Peers::default(),
-            paces: Paces::default(),
-            partings: Vec::new(),
+            paces: Services::default(),
+            partings: Services::default(),
             meter: Meter::default(),
             holders: Vec::new(),
             budgets: Budgets::default(),
@@ -317,29 +319,15 @@
         for service in engines {
             let flow = self.flow(now, &service.name);
             let allowed = parting::allowed_pause(&table, &service.name);
-            let at = match self.find_parting(&service.name) {
-                Ok(at) => at,
-                Err(at) => {
-                    self.partings
-                        .insert(at, (service.name.clone(), Parting::default()));
-                    at
-                }
-            };
-            let parting = &mut self.partings[at].1;
+            let parting = self.partings.of(&service.name);
             parting.judge(self.paces.of(&service.name), allowed, flow.long, flow.rate);
             parting::divide(self.fleet.runners_mut(), &service.name, parting);
         }
     }
 
-    fn find_parting(&self, service: &str) -> Result<usize, usize> {
-        self.partings
-            .binary_search_by(|(have, _)| have.as_str().cmp(service))
-    }
-
     /// How the runners of a service are divided.
     pub fn parting(&self, service: &str) -> Parting {
-        let found = self.find_parting(service);
-        found.map_or_else(|_| Parting::default(), |at| self.partings[at].1)
+        self.partings.get(service).copied().unwrap_or_default()
     }
 
     /// Chooses a runner and counts the request there.
@@ -347,8 +335,8 @@
         let known = Known {
             fleet: &self.fleet,
             prefixes: &self.prefixes,
-            pace: self.paces.of(&demand.service),
             parting: &self.parting(&demand.service),
+            pace: self.paces.of(&demand.service),
         };
         let choice = place::choose(known, now, demand, tried)?;
         self.fleet.begin(choice.key, choice.work, demand.held());
@@ -370,7 +358,7 @@
             return;
         };
         let service = runner.listed.service.clone();
-        let pace = self.paces.learn(&service);
+        let pace = self.paces.of(&service);
         runner.compare(took, pace.expect(outlook));
         let lag = runner.lag;
         if lag < STRAGGLER * self.fleet.usual_lag(&service) {
@@ -384,14 +372,14 @@
             return;
         };
         let reading = runner.reads(self.parting(&runner.listed.service).long);
-        let pace = self.paces.learn(&runner.listed.service);
+        let pace = self.paces.of(&runner.listed.service);
         pace.learn_pause(pause, runner.load(), reading);
     }
 
     /// A request that read a prompt has left its runner after `stay`.
     pub fn left(&mut self, key: Key, stay: Duration) {
         if let Some(runner) = self.fleet.get(key) {
-            self.paces.learn(&runner.listed.service).learn_stay(stay);
+            self.paces.of(&runner.listed.service).learn_stay(stay);
         }
     }
 
--- a/crates/core/src/gate/budget.rs
+++ b/crates/core/src/gate/budget.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 
 use super::Bounds;
+use super::services::Services;
 use crate::time::Moment;
 
 /// Width of one count.
@@ -29,7 +30,6 @@
 
 #[derive(Clone, Debug, Default)]
 struct Service {
-    name: String,
     steps: VecDeque<Step>,
 }
 
@@ -56,18 +56,18 @@
 /// What each service may still get in repeats.
 #[derive(Clone, Debug, Default)]
 pub struct Budgets {
-    services: Vec<Service>,
+    services: Services<Service>,
 }
 
 impl Budgets {
     /// Counts a request of a caller for a service.
     pub fn count(&mut self, now: Moment, service: &str) {
-        self.service(service).step(now).requests += 1;
+        self.services.of(service).step(now).requests += 1;
     }
 
     /// Takes a repeat if one is left.
     pub fn take(&mut self, now: Moment, service: &str, bounds: &Bounds, hosts: u32) -> bool {
-        let service = self.service(service);
+        let service = self.services.of(service);
         service.forget(now, bounds.repeat_window_s);
         let requests: u32 = service.steps.iter().map(|step| step.requests).sum();
         let repeats: u32 = service.steps.iter().map(|step| step.repeats).sum();
@@ -79,22 +79,4 @@
         service.step(now).repeats += 1;
         true
     }
-
-    fn service(&mut self, name: &str) -> &mut Service {
-        let found = self
-            .services
-            .binary_search_by(|have| have.name.as_str().cmp(name));
-        let at = match found {
-            Ok(at) => at,
-            Err(at) => {
-                let service = Service {
-                    name: name.to_string(),
-                    ..Service::default()
-                };
-                self.services.insert(at, service);
-                at
-            }
-        };
-        &mut self.services[at]
-    }
 }
--- a/crates/core/src/gate/fleet.rs
+++ b/crates/core/src/gate/fleet.rs
@@ -212,8 +212,11 @@
             .iter()
             .filter(|runner| runner.is_listed() && runner.listed.service == service);
         let mut lags: Vec<f64> = own.map(|runner| runner.lag).collect();
-        lags.sort_by(f64::total_cmp);
-        lags.get(lags.len() / 2).copied().unwrap_or(1.0)
+        if lags.is_empty() {
+            return 1.0;
+        }
+        let middle = lags.len() / 2;
+        *lags.select_nth_unstable_by(middle, f64::total_cmp).1
     }
 
     /// Whether a zone seems cut off from this host.
@@ -264,14 +267,14 @@
 
     /// Tells which idle connection to a runner would be used next.
     pub fn idle(&mut self, key: Key, idle: Option<Idle>) {
-        if let Some(runner) = self.arena.get_mut(key.index()) {
+        if let Some(runner) = self.get_mut(key) {
             runner.idle = idle;
         }
     }
 
     /// A request goes to a runner: `work` microseconds to read, `held` tokens in its memory.
     pub fn begin(&mut self, key: Key, work: u64, held: u64) {
-        if let Some(runner) = self.arena.get_mut(key.index()) {
+        if let Some(runner) = self.get_mut(key) {
             runner.own.running += 1;
             runner.own.work += work;
             runner.own.held += held;
@@ -280,14 +283,14 @@
 
     /// The runner has read the prompt: the first token came.
     pub fn read(&mut self, key: Key, work: u64) {
-        if let Some(runner) = self.arena.get_mut(key.index()) {
+        if let Some(runner) = self.get_mut(key) {
             runner.own.work = runner.own.work.saturating_sub(work);
         }
     }
 
     /// The request is over; `work` was not yet read.
     pub fn end(&mut self, key: Key, work: u64, held: u64) {
-        if let Some(runner) = self.arena.get_mut(key.index()) {
+        if let Some(runner) = self.get_mut(key) {
             runner.own.running = runner.own.running.saturating_sub(1);
             runner.own.work = runner.own.work.saturating_sub(work);
             runner.own.held = runner.own.held.saturating_sub(held);
@@ -296,7 +299,7 @@
 
     /// A runner has answered something, or taken a connection.
     pub fn hear(&mut self, now: Moment, key: Key) {
-        if let Some(runner) = self.arena.get_mut(key.index()) {
+        if let Some(runner) = self.get_mut(key) {
             runner.heard = now;
         }
     }
@@ -307,7 +310,7 @@
     /// may wait for one runner; one of them asks, so that a runner with a long queue does
     /// not have to take a connection for each, and all learn what came of it.
     pub fn silence(&mut self, now: Moment, key: Key, sent: Moment) -> Silence {
-        let Some(runner) = self.arena.get_mut(key.index()) else {
+        let Some(runner) = self.get_mut(key) else {
             return Silence::Cut;
         };
         if runner.lost.is_some_and(|lost| lost.reached(sent)) {
@@ -333,7 +336,7 @@
     /// The list lags by seconds behind a crash. Without the rest each request
     /// would try the dead runner anew.
     pub fn sign(&mut self, now: Moment, key: Key, sign: Sign) {
-        let Some(runner) = self.arena.get_mut(key.index()) else {
+        let Some(runner) = self.get_mut(key) else {
             return;
         };
         let zone = runner.listed.zone.clone();
--- a/crates/core/src/gate/pace.rs
+++ b/crates/core/src/gate/pace.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use super::fit::Fit;
-use crate::id::digest;
 
 /// What the time until the first event depends on, by place in [`FIRST`]: a fixed part, a
 /// thousand tokens to read, a million pairs of them to compare, a request beside, and the way
@@ -180,41 +179,6 @@
     }
 }
 
-/// Paces by service.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Paces {
-    services: Vec<(u64, Pace)>,
-    unknown: Pace,
-}
-
-impl Paces {
-    /// Pace of a service's runners.
-    pub fn of(&self, service: &str) -> &Pace {
-        match self.find(service) {
-            Ok(at) => &self.services[at].1,
-            Err(_) => &self.unknown,
-        }
-    }
-
-    /// The same, to learn.
-    pub fn learn(&mut self, service: &str) -> &mut Pace {
-        let at = match self.find(service) {
-            Ok(at) => at,
-            Err(at) => {
-                let new = (digest(service.as_bytes()), Pace::default());
-                self.services.insert(at, new);
-                at
-            }
-        };
-        &mut self.services[at].1
-    }
-
-    fn find(&self, service: &str) -> Result<usize, usize> {
-        let service = digest(service.as_bytes());
-        self.services.binary_search_by_key(&service, |(have, _)| *have)
-    }
-}
-
 /// A duration as milliseconds.
 pub fn ms(span: Duration) -> f64 {
     span.as_secs_f64() * 1e3
--- /dev/null
+++ b/crates/core/src/gate/services.rs
@@ -0,0 +1,33 @@
+//! What is kept of each service, by its name.
+
+/// One `T` a service, sorted by name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Services<T> {
+    rows: Vec<(String, T)>,
+}
+
+impl<T> Default for Services<T> {
+    fn default() -> Self {
+        Self { rows: Vec::new() }
+    }
+}
+
+impl<T: Default> Services<T> {
+    /// What is kept of a service, if anything was.
+    pub fn get(&self, service: &str) -> Option<&T> {
+        self.find(service).ok().map(|at| &self.rows[at].1)
+    }
+
+    /// What is kept of a service; the default for one that is new.
+    pub fn of(&mut self, service: &str) -> &mut T {
+        let at = self.find(service).unwrap_or_else(|at| {
+            self.rows.insert(at, (service.to_string(), T::default()));
+            at
+        });
+        &mut self.rows[at].1
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|(have, _)| have.as_str().cmp(service))
+    }
+}
--- a/crates/core/src/gate/supply.rs
+++ b/crates/core/src/gate/supply.rs
@@ -15,6 +15,7 @@
 
 use super::fleet::Fleet;
 use super::route::{Scaling, Service, Table};
+use super::services::Services;
 use crate::target::Targets;
 use crate::time::Moment;
 
@@ -85,6 +86,16 @@
     values: VecDeque<(Moment, u32)>,
 }
 
+impl Kind {
+    fn new(service: &str, zone: &str, reclaimable: bool) -> Self {
+        Self {
+            service: service.to_string(),
+            zone: zone.to_string(),
+            reclaimable,
+        }
+    }
+}
+
 impl High {
     fn rise(&mut self, now: Moment, value: u32, span: Duration) -> u32 {
         while self.values.back().is_some_and(|(_, have)| *have <= value) {
@@ -96,22 +107,15 @@
         }
         self.values.front().map_or(value, |(_, high)| *high)
     }
-
-    /// The highest value of the last span, without a new one.
-    fn highest(&self, now: Moment, span: Duration) -> u32 {
-        let young = self.values.iter().find(|(at, _)| now.since(*at) < span);
-        young.map_or(0, |(_, value)| *value)
-    }
 }
 
 /// The highest flows of a service, in runners that do nothing but read, in thousandths.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Peak {
-    service: String,
     urgent: High,
     usual: High,
-    /// Runners that were there when this planner began.
-    found: High,
+    /// When this planner first looked, and the runners that were there.
+    found: Option<(Moment, u32)>,
 }
 
 plain! {
@@ -176,7 +180,7 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     targets: Targets<Kind, Progress>,
-    peaks: Vec<Peak>,
+    peaks: Services<Peak>,
     /// When an order was sent whose answer has not come.
     sending: Option<Moment>,
 }
@@ -222,11 +226,9 @@
         if self.sending.take().is_none() {
             return;
         }
-        let target = self.targets.of(Kind {
-            service: order.service.clone(),
-            zone: order.zone.clone(),
-            reclaimable: order.reclaimable,
-        });
+        let target = self
+            .targets
+            .of(Kind::new(&order.service, &order.zone, order.reclaimable));
         if !accepted {
             target.more.refused = (target.more.refused + 1).min(REFUSED_MOST);
             return;
@@ -270,11 +272,7 @@
             lacking -= dependable;
             let cheap = each.min(scaling.most - dependable);
             for (reclaimable, wanted) in [(false, dependable), (true, cheap)] {
-                let kind = Kind {
-                    service: service.name.clone(),
-                    zone: zone.name.clone(),
-                    reclaimable,
-                };
+                let kind = Kind::new(&service.name, &zone.name, reclaimable);
                 self.targets.of(kind).want(wanted);
             }
         }
@@ -303,11 +301,7 @@
 
     /// Reclaimable runners of a zone that are there or will be after a boot.
     fn expected(&mut self, now: Moment, service: &Service, scaling: &Scaling, zone: &Zone) -> u32 {
-        let target = self.targets.of(Kind {
-            service: service.name.clone(),
-            zone: zone.name.clone(),
-            reclaimable: true,
-        });
+        let target = self.targets.of(Kind::new(&service.name, &zone.name, true));
         // Some have vanished: what was ordered before may have gone with them.
         let vanished = zone.cheap < target.more.seen;
         target.more.seen = zone.cheap;
@@ -328,11 +322,13 @@
         let found: u32 = zones.iter().map(|zone| zone.dependable + zone.cheap).sum();
         let running: u32 = zones.iter().map(|zone| zone.running).sum();
         let slots = service.engine.map_or(u32::MAX, |engine| engine.slots.max(1));
-        let peak = self.peak(now, &service.name, found);
+        let peak = self.peaks.of(&service.name);
         let reading = (flow / 1_000) as u32;
         let urgent = f64::from(peak.urgent.rise(now, reading, HOLD)) / 1e3;
         let usual = f64::from(peak.usual.rise(now, reading, HOLD_CHEAP)) / 1e3;
-        let found = peak.found.highest(now, HOLD_FOUND);
+        // What was found was sized for the usual load by whoever came before.
+        let (began, found) = *peak.found.get_or_insert((now, found));
+        let found = if now.since(began) < HOLD_FOUND { found } else { 0 };
         let places = f64::from(running) / (f64::from(slots) * TAKEN);
         let reserve = 1.0 + (RESERVE / price.max(RESERVE)).min(RESERVE_MOST);
         let others = (zones.len() as f64 - 1.0).max(1.0);
@@ -343,23 +339,6 @@
             usual: (wanted.ceil() as u32).max(found),
         }
     }
-
-    fn peak(&mut self, now: Moment, service: &str, found: u32) -> &mut Peak {
-        let known = self.peaks.iter().position(|peak| peak.service == service);
-        let at = known.unwrap_or_else(|| {
-            let mut peak = Peak {
-                service: service.to_string(),
-                urgent: High::default(),
-                usual: High::default(),
-                found: High::default(),
-            };
-            // What is there was sized for the usual load by whoever came before.
-            peak.found.rise(now, found, HOLD_FOUND);
-            self.peaks.push(peak);
-            self.peaks.len() - 1
-        });
-        &mut self.peaks[at]
-    }
 }
 
 /// Zones, the cheapest first.
--- a/crates/entry/src/gate/beliefs.rs
+++ b/crates/entry/src/gate/beliefs.rs
@@ -118,7 +118,7 @@
         };
         let engines = table.services().iter().filter(|service| service.engine.is_some());
         for service in engines {
-            let pace = state.paces.of(&service.name);
+            let pace = state.paces.get(&service.name).cloned().unwrap_or_default();
             let parting = state.parting(&service.name);
             tracing::info!(
                 event = "pace",
--- a/tests/suite/gate/build.rs
+++ b/tests/suite/gate/build.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use radishstair_core::gate::fleet::{Listed, Stage};
-use radishstair_core::gate::route::{Customer, Engine, Limits, Mode, Route, Service, Share, Table};
+use radishstair_core::gate::route::{Customer, Engine, Limits, Mode, Route, Scaling, Service, Share, Table};
 use radishstair_core::gate::{Ask, Bounds, State};
 use radishstair_core::time::Moment;
 
@@ -113,3 +113,18 @@
         draw: 0,
     }
 }
+
+/// A document with engines of which up to `most` a zone may be ordered, reclaimable ones at a
+/// part of the price, and the price of each zone.
+pub fn priced(service_name: &str, most: u32, cheap: f64, zones: &[(&str, f64)]) -> Table {
+    let mut engines = service(service_name, Some(32));
+    let prices = zones.iter().map(|(zone, price)| (zone.to_string(), *price));
+    engines.scaling = Some(Scaling {
+        least: 1,
+        most,
+        boot: Duration::from_secs(4),
+        cheap: Some(cheap),
+        prices: prices.collect(),
+    });
+    Table::new(1, 1, Vec::new(), vec![engines], None, Limits::default())
+}
--- a/tests/suite/gate/limits.rs
+++ b/tests/suite/gate/limits.rs
@@ -1,15 +1,12 @@
 //! Repeats, routes and orders.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
 use radishstair_core::gate::budget::Budgets;
 use radishstair_core::gate::fleet::Fleet;
-use radishstair_core::gate::route::{Limits, Mode, Scaling, Share, Table};
+use radishstair_core::gate::route::{Limits, Mode, Share, Table};
 use radishstair_core::gate::supply::{Order, Planner};
 use radishstair_core::time::Moment;
 
-use super::build::{bounds, customer, route, runner, service};
+use super::build::{bounds, customer, priced, route, runner};
 
 fn at(ms: u64) -> Moment {
     Moment::at_ms(100_000 + ms)
@@ -110,15 +107,7 @@
 }
 
 fn engines() -> Table {
-    let mut engines = service("engines", Some(32));
-    engines.scaling = Some(Scaling {
-        least: 1,
-        most: 10,
-        boot: Duration::from_secs(4),
-        cheap: Some(0.22),
-        prices: BTreeMap::from([("zone-a".into(), 1.2), ("zone-b".into(), 0.9)]),
-    });
-    Table::new(1, 1, Vec::new(), vec![engines], None, Limits::default())
+    priced("engines", 10, 0.22, &[("zone-a", 1.2), ("zone-b", 0.9)])
 }
 
 /// Orders for a flow of so many microseconds of reading a second.
--- a/tests/suite/gate/pace.rs
+++ b/tests/suite/gate/pace.rs
@@ -5,13 +5,12 @@
 
 use radishstair_core::gate::fleet::Fleet;
 use radishstair_core::gate::pace::{Outlook, Pace};
-use radishstair_core::gate::route::{Limits, Scaling, Table};
 use radishstair_core::gate::supply::Planner;
 use radishstair_core::time::Moment;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::build::service;
+use super::build::priced;
 use super::model::{Play, SERVICE};
 
 /// Engines three times slower or faster than assumed answer a few hundred requests, one in
@@ -86,16 +85,8 @@
 
 /// Runners wanted by the planner, reclaimable and dependable, for a flow.
 fn wanted(planner: &mut Planner, now: Moment, fleet: &Fleet, price: f64, flow: u64) -> (u32, u32) {
-    let mut engines = service(SERVICE, Some(32));
-    let zones = ["zone-a", "zone-b", "zone-c"];
-    engines.scaling = Some(Scaling {
-        least: 1,
-        most: 20,
-        boot: Duration::from_secs(4),
-        cheap: Some(price),
-        prices: BTreeMap::from(zones.map(|zone| (zone.to_string(), 1.0))),
-    });
-    let table = Table::new(1, 1, Vec::new(), vec![engines], None, Limits::default());
+    let zones = [("zone-a", 1.0), ("zone-b", 1.0), ("zone-c", 1.0)];
+    let table = priced(SERVICE, 20, price, &zones);
     let mut latest = BTreeMap::new();
     while let Some(order) = planner.tick(now, &table, fleet, |_| flow) {
         planner.ordered(now, &order, true);
@@ -150,15 +141,7 @@
 /// back off, and dependable ones stand in meanwhile.
 #[test]
 fn refused_orders_back_off() {
-    let mut engines = service(SERVICE, Some(32));
-    engines.scaling = Some(Scaling {
-        least: 1,
-        most: 20,
-        boot: Duration::from_secs(4),
-        cheap: Some(0.2),
-        prices: BTreeMap::from([("zone-a".to_string(), 1.0)]),
-    });
-    let table = Table::new(1, 1, Vec::new(), vec![engines], None, Limits::default());
+    let table = priced(SERVICE, 20, 0.2, &[("zone-a", 1.0)]);
     let fleet = Fleet::new("zone-a");
     let mut planner = Planner::default();
     let (mut refused, mut dependable) = (0, 0);
