Calls to the store and to peers are measured: bytes, durations, and why one failed

Now each call's bytes and time are counted by call (platform_answer_bytes, platform_call_seconds), a call to the store that fails says how many bytes had come and after how long, a peer that is passed over says why, and a configuration in force says its size and the age of its proof. A call that is given up keeps count of what had come. No decision changes.

Ruled out: reading bytes off the machine's own figures, as they do not say which call moved them.

--- a/crates/entry/src/gate/beliefs.rs
+++ b/crates/entry/src/gate/beliefs.rs
@@ -71,10 +71,13 @@
             taken = self.shared.state().configure(table);
             if taken {
                 self.shared.metrics.version.set(version as i64);
+                self.shared.metrics.document_bytes.set(entry.value.len() as i64);
                 tracing::info!(
                     event = "configuration-in-force",
                     version,
-                    revision = entry.version
+                    revision = entry.version,
+                    bytes = entry.value.len(),
+                    age_ms = self.shared.now().since(as_of).as_millis() as u64
                 );
             }
         }
--- a/crates/entry/src/gate/call.rs
+++ b/crates/entry/src/gate/call.rs
@@ -23,11 +23,22 @@
         more: false,
         revision: 0,
     };
-    let page = match asker.ask(address, request, limit).await {
-        Asked::Answer(status, body) => shared.dialect.answer(call, status, &body),
-        Asked::Never => unanswered(Answer::Refused),
-        Asked::Lost => unanswered(Answer::Lost),
+    let (page, bytes) = match asker.ask(address, request, limit).await {
+        Asked::Answer(status, body) => (shared.dialect.answer(call, status, &body), body.len()),
+        Asked::Never => (unanswered(Answer::Refused), 0),
+        Asked::Lost { came } => (unanswered(Answer::Lost), came),
     };
+    let took = shared.now().since(asked);
+    shared.metrics.answered(call.name(), bytes, took);
+    if matches!(page.answer, Answer::Refused | Answer::Lost) {
+        tracing::warn!(
+            event = "store-call-failed",
+            call = call.name(),
+            outcome = page.answer.outcome(),
+            bytes,
+            took_ms = took.as_millis() as u64
+        );
+    }
     if !matches!(page.answer, Answer::Refused | Answer::Lost) {
         shared.state().store_answered.renew(asked);
     }
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -48,13 +48,26 @@
 }
 
 /// Asks a peer for what came after a revision; none if it cannot tell.
-pub async fn ask(asker: &Asker, peer: SocketAddr, after: u64) -> Option<Changes> {
+pub async fn ask(shared: &Shared, asker: &Asker, peer: SocketAddr, after: u64) -> Option<Changes> {
+    let asked = shared.now();
     let mut request = Request::new(Bytes::new());
     // Made of a fixed path and a number only.
     *request.uri_mut() = format!("{PATH}?{AFTER}{after}").parse().unwrap_or_default();
     let wait = if after == 0 { WAIT_WHOLE } else { WAIT };
-    match asker.ask_patiently(peer, request, WAIT_HEAD, wait).await {
-        Asked::Answer(StatusCode::OK, body) => Changes::decode(body).ok(),
-        Asked::Answer(..) | Asked::Never | Asked::Lost => None,
+    let answer = asker.ask_patiently(peer, request, WAIT_HEAD, wait).await;
+    let took = shared.now().since(asked);
+    let (told, outcome, bytes) = match answer {
+        Asked::Answer(StatusCode::OK, body) => {
+            let bytes = body.len();
+            (Changes::decode(body).ok(), "odd", bytes)
+        }
+        Asked::Answer(..) => (None, "refused", 0),
+        Asked::Never => (None, "unreachable", 0),
+        Asked::Lost { came } => (None, "lost", came),
+    };
+    shared.metrics.answered("peer", bytes, took);
+    if told.is_none() {
+        tracing::warn!(event = "peer-call-failed", %peer, outcome, bytes, took_ms = took.as_millis() as u64);
     }
+    told
 }
--- a/crates/entry/src/gate/duty.rs
+++ b/crates/entry/src/gate/duty.rs
@@ -242,7 +242,7 @@
             Asked::Answer(status, _) if status.is_success() => ("ok", Some(status.as_u16())),
             Asked::Answer(status, _) => ("refused", Some(status.as_u16())),
             Asked::Never => ("refused", None),
-            Asked::Lost => ("lost", None),
+            Asked::Lost { .. } => ("lost", None),
         };
         self.shared.metrics.platform_call("duty", outcome);
         if status == Some(StatusCode::CONFLICT.as_u16()) {
--- a/crates/entry/src/gate/store.rs
+++ b/crates/entry/src/gate/store.rs
@@ -7,7 +7,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
@@ -31,7 +31,10 @@
     /// It did not leave this host.
     Never,
     /// It may have been carried out.
-    Lost,
+    Lost {
+        /// Bytes of the answer's body that had come.
+        came: usize,
+    },
 }
 
 /// Connections to one service of the platform.
@@ -59,13 +62,15 @@
         let (line, response) = match timeout(head, self.send(address, request, &mut left)).await {
             Ok(Ok(begun)) => begun,
             Ok(Err(asked)) => return asked,
-            Err(_) if left => return Asked::Lost,
+            Err(_) if left => return Asked::Lost { came: 0 },
             Err(_) => return Asked::Never,
         };
         let rest = limit.saturating_sub(began.elapsed());
-        timeout(rest, self.collect(line, response))
-            .await
-            .unwrap_or(Asked::Lost)
+        let mut body = BytesMut::new();
+        match timeout(rest, self.collect(line, response, &mut body)).await {
+            Ok(Some(status)) => Asked::Answer(status, body.freeze()),
+            Ok(None) | Err(_) => Asked::Lost { came: body.len() },
+        }
     }
 
     async fn send(
@@ -85,23 +90,31 @@
         match line.send(Request::from_parts(parts, Full::new(body))).await {
             Sent::Answer(response) => Ok((line, response)),
             Sent::Never => Err(Asked::Never),
-            Sent::Maybe => Err(Asked::Lost),
+            Sent::Maybe => Err(Asked::Lost { came: 0 }),
         }
     }
 
-    /// Reads an answer to its end; its connection serves on then.
-    async fn collect(&self, line: Line, response: Response<Incoming>) -> Asked {
+    /// Reads an answer to its end; its connection serves on then. None if it broke off.
+    async fn collect(
+        &self,
+        line: Line,
+        response: Response<Incoming>,
+        whole: &mut BytesMut,
+    ) -> Option<StatusCode> {
         let (parts, body) = response.into_parts();
-        let Ok(body) = Limited::new(body, BYTES).collect().await else {
-            return Asked::Lost;
-        };
+        let mut body = Limited::new(body, BYTES);
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.ok()?.into_data() {
+                whole.extend_from_slice(&data);
+            }
+        }
         if !line::closes(&parts.headers) {
             let mut idle = self.lock();
             if idle.len() < MOST {
                 idle.push(line);
             }
         }
-        Asked::Answer(parts.status, body.to_bytes())
+        Some(parts.status)
     }
 
     async fn line(&self, address: SocketAddr) -> Option<Line> {
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -155,6 +155,10 @@
         if helped {
             self.settle();
         } else {
+            if told == Some(true) {
+                let age_ms = as_of.map(|as_of| now.since(as_of).as_millis() as u64);
+                tracing::info!(event = "peer-not-fresh", %peer, age_ms);
+            }
             self.share.silent(self.shared.now(), peer);
         }
         helped
@@ -163,7 +167,8 @@
     /// Asks for what came after a revision; false if that was not all.
     async fn ask_after(&mut self, peer: SocketAddr, after: u64) -> Option<bool> {
         let asked = self.shared.now();
-        let told = changes::ask(self.connection(peer), peer, after).await?;
+        let shared = self.shared.clone();
+        let told = changes::ask(&shared, self.connection(peer), peer, after).await?;
         Some(self.shared.mirror().take(asked, told))
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,6 +36,13 @@
     pub outcome: &'static str,
 }
 
+/// Kind of a call to the platform or to a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Called {
+    /// What was asked.
+    pub call: &'static str,
+}
+
 const SECONDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.53, 1.0, 2.5, 5.0, 15.0, 60.0,
 ];
@@ -61,6 +68,12 @@
     pub refused_connections: Counter,
     /// Calls to the platform.
     pub platform: Family<Platform, Counter>,
+    /// Bytes of the answers to calls to the platform and to peers.
+    pub answer_bytes: Family<Called, Counter>,
+    /// Time of such calls, answered or given up.
+    pub call_time: Family<Called, Histogram, fn() -> Histogram>,
+    /// Size of the configuration in force.
+    pub document_bytes: Gauge,
     /// Heartbeat bytes sent.
     pub beat_bytes: Counter,
     /// Configuration version in force.
@@ -86,6 +99,9 @@
             forwarded: Counter::default(),
             refused_connections: Counter::default(),
             platform: Family::default(),
+            answer_bytes: Family::default(),
+            call_time: Family::new_with_constructor(seconds),
+            document_bytes: Gauge::default(),
             beat_bytes: Counter::default(),
             version: Gauge::default(),
             trusted: Gauge::default(),
@@ -131,6 +147,24 @@
             self.refused_connections.clone(),
         );
         registry.register("platform_calls", "Calls to the platform", self.platform.clone());
+        registry.register_with_unit(
+            "platform_answer",
+            "Bytes of answers of the platform and of peers",
+            Unit::Bytes,
+            self.answer_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "platform_call",
+            "Time of calls to the platform and to peers, answered or given up",
+            Unit::Seconds,
+            self.call_time.clone(),
+        );
+        registry.register_with_unit(
+            "configuration",
+            "Size of the configuration in force",
+            Unit::Bytes,
+            self.document_bytes.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped because their writer was behind",
@@ -177,6 +211,13 @@
         self.first.get_or_create(&labels).observe(waited.as_secs_f64());
     }
 
+    /// Records what a call to the platform or to a peer brought, and how long it took.
+    pub fn answered(&self, call: &'static str, bytes: usize, took: Duration) {
+        let labels = Called { call };
+        self.answer_bytes.get_or_create(&labels).inc_by(bytes as u64);
+        self.call_time.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
     /// Counts a call to the platform.
     pub fn platform_call(&self, call: &'static str, outcome: &'static str) {
         self.platform.get_or_create(&Platform { call, outcome }).inc();
