A host asks whether the store answers by a key that holds nothing

Cause: a host that learns from its peers asks the store once a second whether it still answers this host. It asked for the operator's document, so each host moved the whole document each second to learn one bit. Ruled out: the readers' rounds alone, as all hosts were affected alike, also those that asked peers.

Change: the question names a key that nobody writes. Any answer proves as much, and 'no such key' is some twenty bytes.

--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -25,6 +25,8 @@
 const HOSTS: &str = "radishstair/host/";
 /// Prefix of counts.
 pub const COUNTS: &str = "radishstair/count/";
+/// A key that no host writes. Reading it tells whether the store answers, in few bytes.
+pub const NOTHING: &str = "radishstair/nothing";
 /// Wait after a window's end before the counts are written, so that they are whole.
 /// Between writes the peers hold the newer counts.
 const SETTLE_MS: u64 = 120;
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -17,7 +17,7 @@
 
 use super::beliefs::Beliefs;
 use super::call::{self, LIMIT};
-use super::records::{self, COUNTS, Own, PREFIX};
+use super::records::{self, COUNTS, NOTHING, Own, PREFIX};
 use super::store::Asker;
 use super::{Shared, changes};
 use crate::upstream::pool::Pool;
@@ -345,7 +345,7 @@
 pub async fn watch_store(shared: Arc<Shared>, store: Arc<Asker>) {
     loop {
         let now = shared.now();
-        let key = shared.dialect.keys().document.to_string();
+        let key = NOTHING.to_string();
         if !shared.state().store_answered.covers(now, STORE_ASKED) {
             call::ask(&shared, &store, &Call::Peek { key }, PAGE).await;
         }
