The operator's document is kept apart from the other keys: staying fresh costs a few bytes

Cause: what it costs to stay fresh grew with the document. A reader listed all keys with their values each 0.6 s, the document among them; a change passed its whole value on to every host that asked, over the reader's own link; and limits of 250 and 700 ms that do not know the size ended transfers half way, to be begun anew elsewhere. At 0.39 MB in base64 that is more than half of a 10 Mbit/s link per host for nothing, at 0.78 MB all of it.

Change: the document has its own version, proof and transfer. - A reader asks the store whether its version still stands: a conditional change that writes nothing, answered by some bytes, or by the newer text. - Peers tell each other the version and the age of its proof. A text of up to 16 KB comes along; a longer one is read from the store, whose link is wide, or from any peer where the store does not answer. - A text is waited for as long as it goes on coming (1.2 s of silence, 12 s in all). - Runners and hosts are listed behind the document, so that their news no longer waits for it. - 'store-regained' is logged as soon as any of the two rounds is answered.

Why it works: in a calm fleet nothing that moves depends on the document's size; a change costs each host one transfer over its own link, in parallel, and nothing queues behind it but that host's own traffic.

Tests: 1,410,588 bytes a second and host read of a calm 0.7 MB document, now under 12 KB; over links of 10 Mbit/s in force within 3 s on all hosts and no refusal (before: never, and refused); leaving runners get nothing after 3 s (before: 40 of 60 requests); a host starts (before: never ready).

Weighed: an open watch (no proof, as it may hear nothing while history is dropped), parts of the document under keys of their own (the operator writes it whole), passing texts on from reader to hosts (the reader's link: 15 askers of 0.8 MB are ten seconds).

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -182,7 +182,7 @@
                 Some(entry) => Ok(self.judge(now, records, &pending, entry)),
                 None => Ok(unsettled()),
             },
-            Answer::Refused => Ok(unsettled()),
+            Answer::Refused | Answer::Same => Ok(unsettled()),
             // The write may stand. Without the read-back a claim of our own
             // would look like a stranger's and the call would never run.
             Answer::Lost if pending.reads < SETTLE_READS => {
--- a/crates/core/src/gate/mirror.rs
+++ b/crates/core/src/gate/mirror.rs
@@ -1,6 +1,6 @@
 //! The store's keys as one host knows them, and what has changed in them.
 //!
-//! Each host keeps all keys. One that reads the store puts its pages in here, one
+//! Each host keeps all keys but the operator's [document](super::document). One that reads the store puts its pages in here, one
 //! that asks such a host puts that host's changes in. Both know then up to which
 //! revision of the store they have seen everything, and of which moment that is,
 //! so either can answer the next host that asks.
@@ -15,6 +15,7 @@
 
 use prost::Message;
 
+use super::document::Notice;
 use crate::id::{digest, weight};
 use crate::store::Entry;
 use crate::time::Moment;
@@ -69,6 +70,9 @@
     /// Checksum over all keys that the teller knows.
     #[prost(fixed64, tag = "6")]
     pub sum: u64,
+    /// The operator's document, which is not among the keys.
+    #[prost(message, optional, tag = "7")]
+    pub document: Option<Notice>,
 }
 
 plain! {
@@ -192,6 +196,7 @@
             gone: gone.cloned().collect(),
             whole,
             sum: self.sum,
+            document: None,
         })
     }
 
--- a/crates/core/src/gate/share.rs
+++ b/crates/core/src/gate/share.rs
@@ -57,14 +57,18 @@
 impl Share {
     /// Where to look first. `hosts` are all that live, `me` among them.
     pub fn first(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Source {
-        let readers = readers(hosts);
-        if !hosts.contains(&me) || readers.contains(&me) {
+        if reads(me, hosts) {
             return Source::Store;
         }
-        self.nearest(now, me, &readers)
+        self.nearest(now, me, &readers(hosts))
             .map_or(Source::Store, Source::Peer)
     }
 
+    /// Any host that is not resting, another one for each that asks.
+    pub fn any(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+        self.nearest(now, me, hosts)
+    }
+
     /// Whom to ask when the store does not answer: another reader, else any host,
     /// as the store may turn away all that read and serve others.
     pub fn instead(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
@@ -88,6 +92,11 @@
     }
 }
 
+/// Whether a host reads the store; so does one that is not known to live yet.
+pub fn reads(me: SocketAddr, hosts: &[SocketAddr]) -> bool {
+    !hosts.contains(&me) || readers(hosts).contains(&me)
+}
+
 /// The hosts that read, the same on every host that knows the same ones.
 fn readers(hosts: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut hosts = hosts.to_vec();
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -225,7 +225,7 @@
                 self.observe(now, Some(entry));
                 None
             }
-            Answer::Refused | Answer::Found(_) => None,
+            Answer::Refused | Answer::Found(_) | Answer::Same => None,
             // The write may stand: read back. Taking it for failed would
             // leave a record of ours that we do not honour; taking it for
             // done could make two holders.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -19,6 +19,8 @@
         Get { key: String },
         /// Read one key, possibly as it was some time ago, for less.
         Peek { key: String },
+        /// Read one key unless its version still is `version`.
+        Renew { key: String, version: u64 },
         /// Read keys under a prefix, after `after`, in order.
         Range { prefix: String, after: String, limit: u32 },
         /// Remove if the version still is `expect`.
@@ -49,6 +51,8 @@
         Conflict(Entry),
         /// The keys asked for.
         Found(Vec<Entry>),
+        /// The key still has the version that was named.
+        Same,
         /// The write was not attempted, or was refused before it took effect.
         Refused,
         /// No answer: the write may have taken effect.
@@ -63,6 +67,7 @@
             Call::Swap { .. } => "swap",
             Call::Get { .. } => "get",
             Call::Peek { .. } => "peek",
+            Call::Renew { .. } => "renew",
             Call::Range { .. } => "range",
             Call::Remove { .. } => "remove",
             Call::Watch { .. } => "watch",
@@ -74,7 +79,7 @@
     /// How it came out, for counters.
     pub fn outcome(&self) -> &'static str {
         match self {
-            Answer::Written(_) | Answer::Found(_) => "ok",
+            Answer::Written(_) | Answer::Found(_) | Answer::Same => "ok",
             Answer::Conflict(_) => "conflict",
             Answer::Refused => "refused",
             Answer::Lost => "lost",
--- a/crates/ctl/src/commit.rs
+++ b/crates/ctl/src/commit.rs
@@ -130,7 +130,7 @@
                 // After a lost answer the entry that stands may be our own.
                 return Ok((stands.id != entry.id).then_some(stands));
             }
-            Answer::Refused | Answer::Lost | Answer::Found(_) => std::thread::sleep(PAUSE),
+            Answer::Refused | Answer::Lost | Answer::Found(_) | Answer::Same => std::thread::sleep(PAUSE),
         }
     }
     bail!(
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -7,11 +7,12 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use radishstair_core::gate::State;
 use radishstair_core::gate::civil::Civil;
+use radishstair_core::gate::document::Document;
 use radishstair_core::gate::mirror::Mirror;
 use radishstair_core::gate::tally::Record;
 use radishstair_core::id::Incarnation;
@@ -25,10 +26,12 @@
 
 pub mod accept;
 pub mod admin;
+pub mod backoff;
 pub mod beliefs;
 pub mod call;
 pub mod changes;
 pub mod dialect;
+pub mod document;
 pub mod duty;
 pub mod events;
 pub mod forward;
@@ -67,6 +70,11 @@
     state: Mutex<State>,
     civil: Mutex<Civil>,
     mirror: Mutex<Mirror>,
+    document: Mutex<Document>,
+    /// Since when the store has not answered this host.
+    lost_since: Mutex<Option<Moment>>,
+    /// A peer told of a document whose text has to be read.
+    document_wanted: Notify,
     /// Something new was read in the store; the peers are to hear of it.
     found: Notify,
     /// A peer has read something new in the store.
@@ -92,6 +100,9 @@
             state: Mutex::new(state),
             civil: Mutex::new(civil),
             mirror: Mutex::default(),
+            document: Mutex::default(),
+            lost_since: Mutex::default(),
+            document_wanted: Notify::new(),
             found: Notify::new(),
             nudged: Notify::new(),
             running: flight::Count::default(),
@@ -111,6 +122,31 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// The operator's document as last read; held for as short as the beliefs are.
+    fn document(&self) -> MutexGuard<'_, Document> {
+        self.document
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// A round began that the store did not answer.
+    fn store_lost(&self, began: Moment) {
+        let mut since = self.lost_since.lock().unwrap_or_else(PoisonError::into_inner);
+        if since.is_none() {
+            *since = Some(began);
+            tracing::warn!(event = "store-lost");
+        }
+    }
+
+    /// The store answered a question that left at `asked`.
+    fn store_regained(&self, asked: Moment) {
+        let mut since = self.lost_since.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(since) = since.take() {
+            let away_ms = asked.since(since).as_millis() as u64;
+            tracing::info!(event = "store-regained", away_ms);
+        }
+    }
+
     /// Now.
     pub fn now(&self) -> Moment {
         self.clock.now()
--- a/crates/entry/src/gate/beliefs.rs
+++ b/crates/entry/src/gate/beliefs.rs
@@ -1,4 +1,4 @@
-//! Putting in force what was read: the operator's document and the runners.
+//! Putting in force what was read of the runners.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,8 +30,6 @@
     /// Sorted by key. Most entries are the same in each round, and reading
     /// thousands anew would take a small host's time.
     parsed: Vec<Parsed>,
-    /// Documents that could not be read, so that each is logged once.
-    odd: Option<u64>,
     /// When the pace of runners was logged last.
     told: Moment,
 }
@@ -43,48 +41,10 @@
             shared,
             runners,
             parsed: Vec::new(),
-            odd: None,
             told: Moment::default(),
         }
     }
 
-    /// Takes the document, known to be the newest as of a moment; whether it was
-    /// put in force.
-    pub fn configure(&mut self, as_of: Moment, entry: &Entry) -> bool {
-        let mut taken = false;
-        let have = self.shared.state().table.clone();
-        if have.is_none_or(|have| have.revision < entry.version) {
-            let table = match self.shared.dialect.table(entry) {
-                Ok(table) => table,
-                Err(err) => {
-                    // The store takes valid documents only; this one says
-                    // something that this version does not know. The proof is
-                    // not renewed, so that keys are not trusted for ever.
-                    if self.odd != Some(entry.version) {
-                        not_read(entry, &err);
-                    }
-                    self.odd = Some(entry.version);
-                    return false;
-                }
-            };
-            let version = table.version;
-            taken = self.shared.state().configure(table);
-            if taken {
-                self.shared.metrics.version.set(version as i64);
-                self.shared.metrics.document_bytes.set(entry.value.len() as i64);
-                tracing::info!(
-                    event = "configuration-in-force",
-                    version,
-                    revision = entry.version,
-                    bytes = entry.value.len(),
-                    age_ms = self.shared.now().since(as_of).as_millis() as u64
-                );
-            }
-        }
-        self.shared.state().proof.renew(as_of);
-        taken
-    }
-
     /// Takes all runners' entries, in order, as of a moment; whether any of them
     /// has changed.
     pub fn list(&mut self, as_of: Moment, entries: &[Entry]) -> bool {
--- a/crates/entry/src/gate/call.rs
+++ b/crates/entry/src/gate/call.rs
@@ -6,15 +6,20 @@
 
 use super::Shared;
 use super::dialect::Page;
-use super::store::{Asked, Asker};
+use super::store::{Asked, Asker, Patience};
 
 /// Keys of a page that are asked for.
 pub const LIMIT: u32 = 500;
 /// Longest wait for a write to the store.
 pub const WRITE: Duration = Duration::from_millis(800);
 
-/// Asks the store and counts what came of it.
+/// Asks the store within a time limit and counts what came of it.
 pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
+    ask_patiently(shared, asker, call, Patience::within(limit)).await
+}
+
+/// The same, as long as the answer goes on coming.
+pub async fn ask_patiently(shared: &Shared, asker: &Asker, call: &Call, patience: Patience) -> Page {
     let asked = shared.now();
     let address = shared.settings.load().store;
     let request = shared.dialect.call(call);
@@ -23,7 +28,7 @@
         more: false,
         revision: 0,
     };
-    let (page, bytes) = match asker.ask(address, request, limit).await {
+    let (page, bytes) = match asker.ask_patiently(address, request, patience).await {
         Asked::Answer(status, body) => (shared.dialect.answer(call, status, &body), body.len()),
         Asked::Never => (unanswered(Answer::Refused), 0),
         Asked::Lost { came } => (unanswered(Answer::Lost), came),
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -1,24 +1,29 @@
 //! What has changed in the store, told from host to host.
 //!
-//! A short call over HTTP on the peers' port: the question names the revision up
-//! to which the asker has seen everything, the answer is a
-//! [`Changes`] message.
+//! Short calls over HTTP on the peers' port: the question names the revision up to which
+//! the asker has seen all keys and the version of the document that it has, the answer is
+//! a [`Changes`] or [`Notice`] message.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use prost::Message;
+use radishstair_core::gate::document::Notice;
 use radishstair_core::gate::mirror::Changes;
 
-use super::Shared;
 use super::reply::{Body, answer};
-use super::store::{Asked, Asker};
+use super::store::{Asked, Asker, Patience};
+use super::{Shared, document};
 
-const PATH: &str = "/changes";
-const AFTER: &str = "after=";
+const CHANGES: &str = "/changes";
+const DOCUMENT: &str = "/document";
+/// Query parameter: revision up to which the asker has seen all keys.
+const AFTER: &str = "after";
+/// Query parameter: version of the document whose text the asker has.
+const HAVE: &str = "have";
 /// Longest wait for a peer's answer to begin, a new connection to it included: a host
 /// whose peer is cut off must still read the store in time to leave runners alone that
 /// have left two seconds ago.
@@ -33,41 +38,96 @@
 
 /// Answers a peer.
 pub fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
-    if request.uri().path() != PATH {
-        return answer(StatusCode::NOT_FOUND, "not found\n");
+    match request.uri().path() {
+        CHANGES => respond_changes(shared, request.uri()),
+        DOCUMENT => respond_document(shared, request.uri()),
+        _ => answer(StatusCode::NOT_FOUND, "not found\n"),
     }
-    let after = request.uri().query().and_then(|query| query.strip_prefix(AFTER));
-    let Some(after) = after.and_then(|after| after.parse().ok()) else {
-        return answer(StatusCode::BAD_REQUEST, "after: a revision is needed\n");
+}
+
+fn respond_changes(shared: &Shared, uri: &Uri) -> Response<Body> {
+    let (Some(after), Some(have)) = (number(uri, AFTER), number(uri, HAVE)) else {
+        return answer(StatusCode::BAD_REQUEST, "after, have: numbers are needed\n");
     };
     let changes = shared.mirror().changes(shared.now(), after);
-    match changes {
-        Some(changes) => answer(StatusCode::OK, changes.encode_to_vec()),
+    let changes = changes.map(|changes| Changes {
+        document: document::notice(shared, have),
+        ..changes
+    });
+    encoded(changes)
+}
+
+fn respond_document(shared: &Shared, uri: &Uri) -> Response<Body> {
+    match number(uri, HAVE) {
+        Some(have) => encoded(document::with_text(shared, have)),
+        None => answer(StatusCode::BAD_REQUEST, "have: a number is needed\n"),
+    }
+}
+
+fn encoded(message: Option<impl Message>) -> Response<Body> {
+    match message {
+        Some(message) => answer(StatusCode::OK, message.encode_to_vec()),
         None => answer(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet\n"),
     }
 }
 
-/// Asks a peer for what came after a revision; none if it cannot tell.
-pub async fn ask(shared: &Shared, asker: &Asker, peer: SocketAddr, after: u64) -> Option<Changes> {
+fn number(uri: &Uri, name: &str) -> Option<u64> {
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.into_iter().find(|(have, _)| *have == name)?;
+    value.parse().ok()
+}
+
+/// Asks a peer for what came after a revision, and for the document if it is newer than
+/// version `have`; none if it cannot tell.
+pub async fn ask(shared: &Shared, asker: &Asker, peer: SocketAddr, after: u64, have: u64) -> Option<Changes> {
+    let whole = if after == 0 { WAIT_WHOLE } else { WAIT };
+    let patience = Patience {
+        head: WAIT_HEAD,
+        silence: whole,
+        whole,
+    };
+    let path = format!("{CHANGES}?{AFTER}={after}&{HAVE}={have}");
+    call(shared, asker, peer, "peer", &path, patience).await
+}
+
+/// Asks a peer for the text of the document if it is newer than version `have`.
+pub async fn ask_document(
+    shared: &Shared,
+    asker: &Asker,
+    peer: SocketAddr,
+    have: u64,
+    patience: Patience,
+) -> Option<Notice> {
+    let path = format!("{DOCUMENT}?{HAVE}={have}");
+    call(shared, asker, peer, "peer-document", &path, patience).await
+}
+
+async fn call<M: Message + Default>(
+    shared: &Shared,
+    asker: &Asker,
+    peer: SocketAddr,
+    name: &'static str,
+    path: &str,
+    patience: Patience,
+) -> Option<M> {
     let asked = shared.now();
     let mut request = Request::new(Bytes::new());
-    // Made of a fixed path and a number only.
-    *request.uri_mut() = format!("{PATH}?{AFTER}{after}").parse().unwrap_or_default();
-    let wait = if after == 0 { WAIT_WHOLE } else { WAIT };
-    let answer = asker.ask_patiently(peer, request, WAIT_HEAD, wait).await;
+    // Made of fixed words and numbers only.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    let answer = asker.ask_patiently(peer, request, patience).await;
     let took = shared.now().since(asked);
     let (told, outcome, bytes) = match answer {
         Asked::Answer(StatusCode::OK, body) => {
             let bytes = body.len();
-            (Changes::decode(body).ok(), "odd", bytes)
+            (M::decode(body).ok(), "odd", bytes)
         }
         Asked::Answer(..) => (None, "refused", 0),
         Asked::Never => (None, "unreachable", 0),
         Asked::Lost { came } => (None, "lost", came),
     };
-    shared.metrics.answered("peer", bytes, took);
+    shared.metrics.answered(name, bytes, took);
     if told.is_none() {
-        tracing::warn!(event = "peer-call-failed", %peer, outcome, bytes, took_ms = took.as_millis() as u64);
+        tracing::warn!(event = "peer-call-failed", call = name, %peer, outcome, bytes, took_ms = took.as_millis() as u64);
     }
     told
 }
--- a/crates/entry/src/gate/dialect.rs
+++ b/crates/entry/src/gate/dialect.rs
@@ -73,7 +73,7 @@
 /// Keys in the store that the operator and the runners write.
 #[derive(Clone, Copy, Debug)]
 pub struct Keys {
-    /// The operator's document.
+    /// The operator's document. It sorts before the other keys that hosts read.
     pub document: &'static str,
     /// Prefix of the runners' entries.
     pub runners: &'static str,
--- /dev/null
+++ b/crates/entry/src/gate/document.rs
@@ -0,0 +1,230 @@
+//! Keeping the operator's document up to date, apart from the other keys.
+//!
+//! A host that reads the store asks in each round whether its version still stands,
+//! which takes a few bytes. The other hosts hear versions from their peers. Whoever lacks
+//! a text reads it from the store, whose link is wide, and from a peer where the store
+//! does not answer. A text that is under way is waited for as long as it goes on coming.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishstair_core::gate::document::{News, Notice};
+use radishstair_core::gate::share::{self, Share};
+use radishstair_core::store::{Answer, Call, Entry};
+use radishstair_core::time::Moment;
+
+use super::Shared;
+use super::backoff::Backoff;
+use super::call;
+use super::changes;
+use super::store::{Asker, Patience};
+use super::sync::ROUND;
+
+/// Age of the proof past which a host that hears nothing from its peers asks the store:
+/// a reader's round and its own.
+const UNHEARD: Duration = Duration::from_millis(1_300);
+/// Shortest time between two looks at the age.
+const LEAST: Duration = Duration::from_millis(50);
+/// How a text is waited for. Its size is not known beforehand, so only its silence and
+/// a bound far above the time of a megabyte on a thin link end it.
+const PATIENCE: Patience = Patience {
+    head: Duration::from_millis(1_200),
+    silence: Duration::from_millis(1_200),
+    whole: Duration::from_secs(12),
+};
+
+/// Reads the document when it is due, until the process ends.
+pub async fn run(shared: Arc<Shared>, store: Arc<Asker>) {
+    let mut keeper = Keeper {
+        shared,
+        store,
+        peers: Asker::default(),
+        share: Share::default(),
+        backoff: Backoff::default(),
+        unanswered: false,
+    };
+    loop {
+        let pause = keeper.round().await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = keeper.shared.document_wanted.notified() => {}
+        }
+    }
+}
+
+struct Keeper {
+    shared: Arc<Shared>,
+    store: Arc<Asker>,
+    peers: Asker,
+    share: Share,
+    backoff: Backoff,
+    /// Whether the last question for the version got no answer.
+    unanswered: bool,
+}
+
+impl Keeper {
+    /// Reads the document if it is due; the time until the next look.
+    async fn round(&mut self) -> Duration {
+        let began = self.shared.now();
+        let reads = self.is_reader();
+        let (is_behind, age) = {
+            let document = self.shared.document();
+            (document.is_behind(), document.age(began).unwrap_or(Duration::MAX))
+        };
+        if !reads && !is_behind && age < UNHEARD {
+            return (UNHEARD - age).max(LEAST);
+        }
+        if !self.read(is_behind, reads).await && !(is_behind && self.ask_peer().await) {
+            return self.backoff.pause(rand::random());
+        }
+        self.backoff.reset();
+        match reads {
+            true => ROUND.saturating_sub(self.shared.now().since(began)),
+            false => LEAST,
+        }
+    }
+
+    fn is_reader(&self) -> bool {
+        let me = self.shared.settings.load().peer_listen;
+        share::reads(me, &self.shared.peers.load())
+    }
+
+    /// Reads from the store; whether it answered.
+    async fn read(&mut self, is_behind: bool, reads: bool) -> bool {
+        let sent = self.shared.now();
+        let key = self.shared.dialect.keys().document.to_string();
+        let version = self.shared.document().version();
+        // A conditional change whose answer was lost may lose the next one, too; a plain
+        // read brings the whole text, and is answered.
+        let call = match is_behind || self.unanswered {
+            true => Call::Get { key },
+            false => Call::Renew { key, version },
+        };
+        let page = call::ask_patiently(&self.shared, &self.store, &call, PATIENCE).await;
+        self.unanswered = page.answer == Answer::Lost && matches!(call, Call::Renew { .. });
+        if matches!(page.answer, Answer::Same | Answer::Found(_)) {
+            self.shared.store_regained(sent);
+        }
+        match page.answer {
+            Answer::Same => renew(&self.shared, sent),
+            Answer::Found(entries) => {
+                let Some(entry) = entries.into_iter().next() else {
+                    // No operator has written one yet.
+                    return true;
+                };
+                if take(&self.shared, sent, entry) && reads {
+                    self.shared.found.notify_one();
+                }
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    /// Asks a peer for a text that the store does not give; whether it came.
+    async fn ask_peer(&mut self) -> bool {
+        let now = self.shared.now();
+        let me = self.shared.settings.load().peer_listen;
+        let Some(peer) = self.share.any(now, me, &self.shared.peers.load()) else {
+            return false;
+        };
+        let have = self.shared.document().version();
+        let told = changes::ask_document(&self.shared, &self.peers, peer, have, PATIENCE).await;
+        let is_new = told.is_some_and(|notice| hear(&self.shared, now, notice));
+        if !is_new {
+            self.share.silent(self.shared.now(), peer);
+        }
+        is_new
+    }
+}
+
+/// The text that is known was the newest at `as_of`.
+fn renew(shared: &Shared, as_of: Moment) {
+    let version = {
+        let mut document = shared.document();
+        document.renew(as_of);
+        document.version()
+    };
+    let mut state = shared.state();
+    // A text that could not be read is not in force, and proves nothing of the one that is.
+    if state
+        .table
+        .as_ref()
+        .is_some_and(|table| table.revision == version)
+    {
+        state.proof.renew(as_of);
+    }
+}
+
+/// Takes a text that was the newest at `as_of`, and puts it in force; whether it is new.
+fn take(shared: &Shared, as_of: Moment, entry: Entry) -> bool {
+    let entry = Arc::new(entry);
+    let is_new = shared.document().take(as_of, entry.clone());
+    if is_new {
+        put_in_force(shared, as_of, &entry);
+    }
+    renew(shared, as_of);
+    is_new
+}
+
+fn put_in_force(shared: &Shared, as_of: Moment, entry: &Entry) {
+    let table = match shared.dialect.table(entry) {
+        Ok(table) => table,
+        Err(err) => {
+            // The store takes valid documents only; this one says something that this
+            // version does not know. The proof is not renewed, so that keys are not
+            // trusted for ever.
+            tracing::warn!(event = "entry-not-read", key = entry.key, revision = entry.version, reason = %format!("{err:#}"));
+            return;
+        }
+    };
+    let version = table.version;
+    if !shared.state().configure(table) {
+        return;
+    }
+    shared.metrics.version.set(version as i64);
+    shared.metrics.document_bytes.set(entry.value.len() as i64);
+    tracing::info!(
+        event = "configuration-in-force",
+        version,
+        revision = entry.version,
+        bytes = entry.value.len(),
+        age_ms = shared.now().since(as_of).as_millis() as u64
+    );
+}
+
+/// Takes in what a peer told when it was asked at `asked`; whether it brought a new text.
+pub fn hear(shared: &Shared, asked: Moment, notice: Notice) -> bool {
+    let (known, news) = {
+        let mut document = shared.document();
+        (document.newest(), document.hear(asked, notice))
+    };
+    match news {
+        News::Proven(as_of) => {
+            renew(shared, as_of);
+            false
+        }
+        News::Text(as_of, version, value) => {
+            let key = shared.dialect.keys().document.to_string();
+            take(shared, as_of, Entry { key, version, value })
+        }
+        News::Newer(version) => {
+            if known < version {
+                tracing::info!(event = "configuration-to-read", revision = version);
+            }
+            shared.document_wanted.notify_one();
+            false
+        }
+        News::Older => false,
+    }
+}
+
+/// What a peer is told that has the text of version `have`.
+pub fn notice(shared: &Shared, have: u64) -> Option<Notice> {
+    shared.document().notice(shared.now(), have)
+}
+
+/// The same with the text, however long.
+pub fn with_text(shared: &Shared, have: u64) -> Option<Notice> {
+    shared.document().with_text(shared.now(), have)
+}
--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -256,7 +256,7 @@
             written.version = entry.version;
             false
         }
-        Answer::Refused | Answer::Lost | Answer::Found(_) => false,
+        Answer::Refused | Answer::Lost | Answer::Found(_) | Answer::Same => false,
     }
 }
 
--- a/crates/entry/src/gate/run.rs
+++ b/crates/entry/src/gate/run.rs
@@ -21,7 +21,7 @@
 use super::store::Asker;
 use crate::upstream::pool::Pool;
 
-use super::{Shared, accept, admin, peers, sync};
+use super::{Shared, accept, admin, document, peers, sync};
 
 /// How long a stopping host goes on accepting: the balancer asks once a second
 /// and turns away after two misses, and its answer may be a moment late.
@@ -111,6 +111,7 @@
             let store = Arc::new(Asker::default());
             let (own, read) = mpsc::channel(1);
             tokio::spawn(sync::watch_store(shared.clone(), store.clone()));
+            tokio::spawn(document::run(shared.clone(), store.clone()));
             tokio::spawn(sync::run(shared.clone(), store.clone(), runners, own));
             Duty::new(shared, store).run(read, told).await;
         });
--- a/crates/entry/src/gate/store.rs
+++ b/crates/entry/src/gate/store.rs
@@ -37,6 +37,28 @@
     },
 }
 
+/// How long an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until its head has come, a new connection included.
+    pub head: Duration,
+    /// Between two of its parts.
+    pub silence: Duration,
+    /// Until all of it has come.
+    pub whole: Duration,
+}
+
+impl Patience {
+    /// One limit for everything.
+    pub const fn within(limit: Duration) -> Self {
+        Self {
+            head: limit,
+            silence: limit,
+            whole: limit,
+        }
+    }
+}
+
 /// Connections to one service of the platform.
 #[derive(Debug, Default)]
 pub struct Asker {
@@ -46,28 +68,29 @@
 impl Asker {
     /// Asks within a time limit.
     pub async fn ask(&self, address: SocketAddr, request: Request<Bytes>, limit: Duration) -> Asked {
-        self.ask_patiently(address, request, limit, limit).await
+        self.ask_patiently(address, request, Patience::within(limit))
+            .await
     }
 
-    /// Asks with a time limit for the answer to begin, and one for all of it.
+    /// Asks, and waits for an answer as long as it goes on coming.
     pub async fn ask_patiently(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        head: Duration,
-        limit: Duration,
+        patience: Patience,
     ) -> Asked {
         let mut left = false;
         let began = Instant::now();
-        let (line, response) = match timeout(head, self.send(address, request, &mut left)).await {
+        let (line, response) = match timeout(patience.head, self.send(address, request, &mut left)).await {
             Ok(Ok(begun)) => begun,
             Ok(Err(asked)) => return asked,
             Err(_) if left => return Asked::Lost { came: 0 },
             Err(_) => return Asked::Never,
         };
-        let rest = limit.saturating_sub(began.elapsed());
+        let rest = patience.whole.saturating_sub(began.elapsed());
         let mut body = BytesMut::new();
-        match timeout(rest, self.collect(line, response, &mut body)).await {
+        let collecting = self.collect(line, response, patience.silence, &mut body);
+        match timeout(rest, collecting).await {
             Ok(Some(status)) => Asked::Answer(status, body.freeze()),
             Ok(None) | Err(_) => Asked::Lost { came: body.len() },
         }
@@ -94,16 +117,17 @@
         }
     }
 
-    /// Reads an answer to its end; its connection serves on then. None if it broke off.
+    /// Reads an answer to its end; its connection serves on then. None if it broke off or fell silent.
     async fn collect(
         &self,
         line: Line,
         response: Response<Incoming>,
+        silence: Duration,
         whole: &mut BytesMut,
     ) -> Option<StatusCode> {
         let (parts, body) = response.into_parts();
         let mut body = Limited::new(body, BYTES);
-        while let Some(frame) = body.frame().await {
+        while let Some(frame) = timeout(silence, body.frame()).await.ok()? {
             if let Ok(data) = frame.ok()?.into_data() {
                 whole.extend_from_slice(&data);
             }
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -1,4 +1,5 @@
-//! Keeping the beliefs up to date from the platform's store.
+//! Keeping the beliefs up to date from the platform's store, but for the operator's
+//! [document](super::document).
 //!
 //! A few hosts read all keys anew each round: an open watch is no proof (it may be
 //! cut without a sign, or hear nothing while history is dropped). The other hosts
@@ -15,29 +16,25 @@
 use radishstair_core::time::Moment;
 use tokio::sync::mpsc;
 
+use super::backoff::Backoff;
 use super::beliefs::Beliefs;
 use super::call::{self, LIMIT};
 use super::records::{self, COUNTS, NOTHING, Own, PREFIX};
 use super::store::Asker;
-use super::{Shared, changes};
+use super::{Shared, changes, document};
 use crate::upstream::pool::Pool;
 
 /// Time between the beginnings of two rounds. Withdrawn routes must stop within
 /// two seconds, also where the word of a peer that has read something new is lost:
 /// its round, one's own, and an answer that is lost fit in.
-const ROUND: Duration = Duration::from_millis(600);
-/// Pause after a round that failed.
-const AGAIN: Duration = Duration::from_millis(150);
-/// Longest such pause; it doubles with each failure, so that hosts which the store
-/// turns away for its rate do not keep it there.
-const AGAIN_MOST: Duration = ROUND;
+pub(super) const ROUND: Duration = Duration::from_millis(600);
 /// Shortest time between the beginnings of two rounds, however often peers say
 /// that there is something new.
 const LEAST: Duration = Duration::from_millis(50);
 /// Longest wait for one page; a slow store takes a quarter of a second.
 const PAGE: Duration = Duration::from_millis(700);
-/// Age of what is known of a long list up to which a host that no peer helps reads the
-/// document alone. Hundreds of hosts that read thousands of runners at once kept the
+/// Age of what is known of a long list up to which a host that no peer helps asks the
+/// next peer instead of reading it. Hundreds of hosts that read thousands of runners at once kept the
 /// store's link full, and each other from reading; runners that leave must get nothing
 /// new after two seconds.
 const LISTED: Duration = Duration::from_millis(1_600);
@@ -55,15 +52,14 @@
         share: Share::default(),
         peers: Vec::new(),
         source: None,
-        lost_since: None,
-        failures: 0,
+        backoff: Backoff::default(),
         deferred: 0,
     };
     while !reader.own.is_closed() {
         let began = reader.shared.now();
         let waits = match reader.round(began).await {
             true => reader.rest(ROUND, began),
-            false => reader.pause(rand::random()),
+            false => reader.backoff.pause(rand::random()),
         };
         // Peers tell only those that ask them; one that reads has its own rounds.
         let asks = matches!(reader.source, Some(Source::Peer(_)));
@@ -86,9 +82,7 @@
     peers: Vec<(SocketAddr, Asker)>,
     /// Where the last round learned what is new.
     source: Option<Source>,
-    lost_since: Option<Moment>,
-    /// Rounds in a row that brought nothing.
-    failures: u32,
+    backoff: Backoff,
     /// Times that a peer was asked before the first listing.
     deferred: u32,
 }
@@ -99,20 +93,19 @@
         let hosts = self.shared.peers.load_full();
         let me = self.shared.settings.load().peer_listen;
         let first = self.share.first(began, me, &hosts);
-        if let Source::Peer(peer) = first
-            && self.ask(peer).await
-        {
-            return self.known(Source::Peer(peer));
+        if let Source::Peer(peer) = first {
+            if self.ask(peer).await {
+                return self.known(Source::Peer(peer));
+            }
+            if self.has_long_list(began) {
+                return false;
+            }
         }
-        let read = match first {
-            Source::Peer(_) if self.has_long_list(began) => self.read_document().await,
-            _ => self.read().await,
-        };
-        if read {
-            self.regained(began);
+        if self.read().await {
+            self.shared.store_regained(began);
             return self.known(Source::Store);
         }
-        self.lost(began);
+        self.shared.store_lost(began);
         let now = self.shared.now();
         match self.share.instead(now, me, &hosts) {
             Some(peer) => self.ask(peer).await && self.known(Source::Peer(peer)),
@@ -120,15 +113,6 @@
         }
     }
 
-    /// Pause after a failed round, spread by a draw: hosts that fail together must
-    /// not come back together.
-    fn pause(&mut self, draw: u32) -> Duration {
-        let pause = AGAIN * 2u32.saturating_pow(self.failures);
-        self.failures = (self.failures + 1).min(4);
-        let spread = 0.5 + f64::from(draw) / f64::from(u32::MAX);
-        pause.min(AGAIN_MOST).mul_f64(spread)
-    }
-
     /// What is left of a span that began with the round.
     fn rest(&self, span: Duration, began: Moment) -> Duration {
         span.saturating_sub(self.shared.now().since(began))
@@ -168,7 +152,11 @@
     async fn ask_after(&mut self, peer: SocketAddr, after: u64) -> Option<bool> {
         let asked = self.shared.now();
         let shared = self.shared.clone();
-        let told = changes::ask(&shared, self.connection(peer), peer, after).await?;
+        let have = shared.document().version();
+        let mut told = changes::ask(&shared, self.connection(peer), peer, after, have).await?;
+        if let Some(notice) = told.document.take() {
+            document::hear(&shared, asked, notice);
+        }
         Some(self.shared.mirror().take(asked, told))
     }
 
@@ -194,32 +182,18 @@
         mirror.len() > LIMIT as usize && mirror.as_of().is_some_and(young)
     }
 
-    /// Reads the operator's document alone; whether it came.
-    async fn read_document(&mut self) -> bool {
-        let sent = self.shared.now();
-        let key = self.shared.dialect.keys().document.to_string();
-        let page = call::ask(&self.shared, &self.store, &Call::Get { key }, PAGE).await;
-        let Answer::Found(entries) = page.answer else {
-            return false;
-        };
-        if let Some(entry) = entries.first() {
-            self.beliefs.configure(sent, entry);
-        }
-        true
-    }
-
-    /// Reads all keys from the store; whether all pages came.
-    ///
-    /// The document is put in force as soon as its page has come: behind a long
-    /// list it would wait for all pages, and be lost with any of them.
+    /// Reads all keys but the document from the store; whether all pages came.
     async fn read(&mut self) -> bool {
         let mut after = String::new();
-        let mut changed = false;
         loop {
             let sent = self.shared.now();
             let call = Call::Range {
                 prefix: String::new(),
-                after: after.clone(),
+                after: match after.is_empty() {
+                    // It sorts before the other keys.
+                    true => self.shared.dialect.keys().document.to_string(),
+                    false => after.clone(),
+                },
                 limit: LIMIT,
             };
             let page = call::ask(&self.shared, &self.store, &call, PAGE).await;
@@ -227,7 +201,6 @@
                 return false;
             };
             strip_counts(&mut entries);
-            changed |= self.configure(sent, &entries);
             let last = entries.last().filter(|_| page.more);
             let last = last.map(|entry| entry.key.clone());
             if after.is_empty()
@@ -248,20 +221,12 @@
             };
             after = last;
         }
-        changed |= self.settle();
-        if changed {
+        if self.settle() {
             self.shared.found.notify_one();
         }
         true
     }
 
-    /// Puts the document in force if the page has it; whether it is new.
-    fn configure(&mut self, sent: Moment, page: &[Entry]) -> bool {
-        let key = self.shared.dialect.keys().document;
-        let document = page.iter().find(|entry| entry.key == key);
-        document.is_some_and(|entry| self.beliefs.configure(sent, entry))
-    }
-
     /// The host to which a long list is left, by its first page: one that reads, while
     /// nothing is known yet, as after a start. When hundreds of hosts start at once, the
     /// store would turn most of them away again and again.
@@ -282,18 +247,14 @@
     /// Puts in force what all keys say; whether any runner has changed.
     fn settle(&mut self) -> bool {
         let keys = self.shared.dialect.keys();
-        let (as_of, document, runners, own) = {
+        let (as_of, runners, own) = {
             let mirror = self.shared.mirror();
             let Some(as_of) = mirror.as_of() else {
                 return false;
             };
-            let document = mirror.find(keys.document).cloned();
             let under = |prefix: &str| mirror.under(prefix).to_vec();
-            (as_of, document, under(keys.runners), under(PREFIX))
+            (as_of, under(keys.runners), under(PREFIX))
         };
-        if let Some(document) = document {
-            self.beliefs.configure(as_of, &document);
-        }
         let changed = self.beliefs.list(as_of, &runners);
         // A full channel is emptied by the next round.
         let _ = self.own.try_send(Own { as_of, entries: own });
@@ -301,7 +262,7 @@
     }
 
     fn known(&mut self, source: Source) -> bool {
-        self.failures = 0;
+        self.backoff.reset();
         if self.source != Some(source) {
             let (from, peer) = match source {
                 Source::Store => ("store", None),
@@ -317,20 +278,6 @@
         self.source = Some(source);
         true
     }
-
-    fn lost(&mut self, began: Moment) {
-        if self.lost_since.is_none() {
-            self.lost_since = Some(began);
-            tracing::warn!(event = "store-lost");
-        }
-    }
-
-    fn regained(&mut self, now: Moment) {
-        if let Some(since) = self.lost_since.take() {
-            let away_ms = now.since(since).as_millis() as u64;
-            tracing::info!(event = "store-regained", away_ms);
-        }
-    }
 }
 
 /// Leaves of the counts only that they have changed, which is all that is told on.
--- a/crates/load/src/cmd/slopes/fleet.rs
+++ b/crates/load/src/cmd/slopes/fleet.rs
@@ -282,7 +282,9 @@
                     Answer::Conflict(self.value(key))
                 }
             }
-            Call::Get { key } | Call::Peek { key } => Answer::Found(vec![self.value(key)]),
+            Call::Get { key } | Call::Peek { key } | Call::Renew { key, .. } => {
+                Answer::Found(vec![self.value(key)])
+            }
             Call::Range { prefix, after, limit } => self.scan(prefix, after, *limit as usize),
             Call::Watch { prefix, .. } => {
                 let event = Event::Stored(token, Answer::Found(Vec::new()));
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -175,8 +175,8 @@
                 };
                 write_answer(key, self.post("/kv/remove", &body, CALL))
             }
-            // The platform's own answers are never old.
-            Call::Get { key } | Call::Peek { key } => {
+            // The platform's own answers are never old, and always whole.
+            Call::Get { key } | Call::Peek { key } | Call::Renew { key, .. } => {
                 read_answer(self.post("/kv/get", &Get { key: key.clone() }, CALL))
             }
             Call::Range { prefix, after, limit } => {
--- a/tests/suite/gate.rs
+++ b/tests/suite/gate.rs
@@ -1,6 +1,7 @@
 //! Decisions of the opaque front, without sockets.
 
 mod build;
+mod document;
 mod events;
 mod fleet;
 mod freshness;
--- a/tests/suite/world/store.rs
+++ b/tests/suite/world/store.rs
@@ -58,7 +58,7 @@
                 self.store.remove(key);
                 Answer::Written(0)
             }
-            store::Call::Get { key } | store::Call::Peek { key } => {
+            store::Call::Get { key } | store::Call::Peek { key } | store::Call::Renew { key, .. } => {
                 let keys = self.stale.as_ref().unwrap_or(&self.store);
                 let found = keys.get(key).map(|value| entry(key, value));
                 Answer::Found(found.into_iter().collect())
