A host that knows of a newer document does not serve by the former one for long

Cause: requests on routes without a key need no proof of freshness, so that they are served while the store is away. That holds also where a host knows that a newer document stands and has not got it: its peers told it, its link is full.

Change: a host that has heard of a newer version refuses, truly not run and with a time to come back, once its proof is older than 0.8 of the time in which a change must be in force (a bound of the platform, now among the settings; two seconds where it is not named). Nothing changes where no newer version is known.

Ruled out: refusing by age alone, as an outage of the store would then refuse requests that need no proof. Test: an_old_document_is_not_served_for_long_once_a_newer_one_is_known; before, the request was passed on at any age.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -50,6 +50,9 @@
     pub struct Bounds {
         /// Milliseconds after which a withdrawn key must not run anything.
         pub revocation_ms: u64,
+        /// Milliseconds after which a change of the document must be in force.
+        #[serde(default = "default_configuration_ms")]
+        pub configuration_ms: u64,
         /// Repeats allowed for each request of a service.
         pub repeat_ratio: f64,
         /// Repeats allowed besides, for all hosts together.
@@ -67,6 +70,15 @@
     }
 }
 
+/// The shorter of the usual bounds.
+fn default_configuration_ms() -> u64 {
+    2_000
+}
+
+/// Part of the time for a change that a host which knows of it may serve by the former
+/// document. The rest covers the request's way to the runner.
+const SUPERSEDED_PART: f64 = 0.8;
+
 /// Part of the revocation bound for which a proof of freshness carries. The
 /// rest covers the call's way to the runner and a pause of this process
 /// between the check and the write.
@@ -95,6 +107,11 @@
 pub const LAST_RANK: u8 = 9;
 
 impl Bounds {
+    /// How old the proof of a document may be once a newer one is known to stand.
+    pub fn superseded(&self) -> Duration {
+        Duration::from_millis((self.configuration_ms as f64 * SUPERSEDED_PART) as u64)
+    }
+
     /// How old the proof may be when a keyed request is passed on.
     pub fn proof(&self) -> Duration {
         Duration::from_millis((self.revocation_ms as f64 * PROOF_PART) as u64)
@@ -146,6 +163,8 @@
     pub table: Option<Arc<Table>>,
     /// When the document was known to be the newest.
     pub proof: Proof,
+    /// Whether a newer one stands that this host has yet to read.
+    pub is_behind: bool,
     /// When the store last answered this host itself.
     pub store_answered: Proof,
     /// Runners.
@@ -179,6 +198,7 @@
             bounds,
             table: None,
             proof: Proof::default(),
+            is_behind: false,
             store_answered: Proof::default(),
             fleet: Fleet::new(zone),
             prefixes: Index::default(),
@@ -239,6 +259,18 @@
         self.proof.covers(now, self.bounds.proof())
     }
 
+    /// Refuses while a newer document has not come in time.
+    ///
+    /// Requests that need no key need no proof, as they are served while the store is
+    /// away. A host that knows of a change, and does not know the change, would send them
+    /// where they no longer go.
+    fn refuse_superseded(&self, now: Moment) -> Result<(), Refusal> {
+        match self.is_behind && !self.proof.covers(now, self.bounds.superseded()) {
+            true => Err(Refusal::new(Kind::Stale).detail("a newer configuration has yet to come")),
+            false => Ok(()),
+        }
+    }
+
     /// Finds route, service and customer of a request.
     ///
     /// # Errors
@@ -248,6 +280,7 @@
         let Some(table) = &self.table else {
             return Err(Refusal::new(Kind::Stale).detail("no configuration is known yet"));
         };
+        self.refuse_superseded(now)?;
         let newest = self.proof.covers(now, NEWEST);
         let unless_newest = |kind| Refusal::new(if newest { kind } else { Kind::Stale });
         let Some(route) = table.find(ask.host, ask.path) else {
@@ -289,6 +322,7 @@
         if admission.keyed && !self.is_fresh(now) {
             return Err(Refusal::new(Kind::Stale));
         }
+        self.refuse_superseded(now)?;
         let current = self.table.as_ref().map(|table| table.revision);
         if current == Some(admission.revision) {
             return Ok(());
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -74,7 +74,8 @@
         if !reads && !is_behind && age < UNHEARD {
             return (UNHEARD - age).max(LEAST);
         }
-        if !self.read(is_behind, reads).await && !(is_behind && self.ask_peer().await) {
+        let came = self.read(is_behind, reads).await || (is_behind && self.ask_peer().await);
+        if !came {
             return self.backoff.pause(rand::random());
         }
         self.backoff.reset();
@@ -140,12 +141,13 @@
 
 /// The text that is known was the newest at `as_of`.
 fn renew(shared: &Shared, as_of: Moment) {
-    let version = {
+    let (version, is_behind) = {
         let mut document = shared.document();
         document.renew(as_of);
-        document.version()
+        (document.version(), document.is_behind())
     };
     let mut state = shared.state();
+    state.is_behind = is_behind;
     // A text that could not be read is not in force, and proves nothing of the one that is.
     if state
         .table
@@ -212,6 +214,7 @@
             if known < version {
                 tracing::info!(event = "configuration-to-read", revision = version);
             }
+            shared.state().is_behind = true;
             shared.document_wanted.notify_one();
             false
         }
--- a/crates/entry/src/gate/settings.rs
+++ b/crates/entry/src/gate/settings.rs
@@ -60,6 +60,10 @@
         ensure!(!self.zone.is_empty(), "zone: must not be empty");
         let bounds = &self.bounds;
         ensure!(bounds.revocation_ms >= 500, "bounds.revocation_ms: at least 500");
+        ensure!(
+            bounds.configuration_ms >= 500,
+            "bounds.configuration_ms: at least 500"
+        );
         ensure!(
             bounds.repeat_ratio >= 0.0,
             "bounds.repeat_ratio: must not be negative"
--- a/tests/suite/gate/build.rs
+++ b/tests/suite/gate/build.rs
@@ -11,6 +11,7 @@
 pub fn bounds() -> Bounds {
     Bounds {
         revocation_ms: 5_000,
+        configuration_ms: 2_000,
         repeat_ratio: 0.2,
         repeat_slack: 56.0,
         repeat_window_s: 10,
--- a/tests/suite/gate/freshness.rs
+++ b/tests/suite/gate/freshness.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use radishstair_core::error::Kind;
+use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::gate::Ask;
+use radishstair_core::gate::route::{Limits, Mode, Route, Table};
 use radishstair_core::time::Moment;
 
-use super::build::{ask, customer, state, table};
+use super::build::{ask, customer, route, state, table};
 
 const START: u64 = 100_000;
 
@@ -100,3 +102,42 @@
     state.proof.renew(at(6_100));
     assert!(state.is_ready(at(6_200)) && !state.hands_over(at(6_200)));
 }
+
+/// Guards against requests without a key that go where a change, known but not read, forbids.
+#[test]
+fn an_old_document_is_not_served_for_long_once_a_newer_one_is_known() {
+    let mut state = state(at(0), vec![customer("ana", &["key-a"])]);
+    let public = Route {
+        public: true,
+        ..route("open", "/open/", Mode::Repeatable, "ledger")
+    };
+    let customers = Some(vec![customer("ana", &["key-a"])]);
+    state.configure(Table::new(
+        2,
+        2,
+        vec![public],
+        Vec::new(),
+        customers,
+        Limits::default(),
+    ));
+    let open = Ask {
+        key: None,
+        path: "/open/1",
+        ..ask("key-a")
+    };
+    let admission = state.admit(at(9_000), &open).expect("no key, no proof");
+    assert!(
+        state.may_send(at(9_000), &admission, &open).is_ok(),
+        "the store is away"
+    );
+    state.proof.renew(at(9_000));
+    state.is_behind = true;
+    assert!(
+        state.may_send(at(10_500), &admission, &open).is_ok(),
+        "there is time yet"
+    );
+    let refused = |result: Result<(), Refusal>| result.map_err(|refusal| refusal.kind);
+    let kind = refused(state.may_send(at(10_700), &admission, &open));
+    assert_eq!(kind, Err(Kind::Stale));
+    assert!(state.admit(at(10_700), &open).is_err());
+}
