--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -14,6 +14,7 @@
 
 pub mod budget;
 pub mod civil;
+pub mod delta;
 pub mod document;
 pub mod fit;
 pub mod fleet;
--- a/crates/core/src/gate/document.rs
+++ b/crates/core/src/gate/document.rs
@@ -10,13 +10,17 @@
 
 use prost::Message;
 
+use super::delta::Delta;
 use crate::store::Entry;
 use crate::time::Moment;
 
-/// Longest text, in bytes, that a peer tells along with its version. A reader tells
-/// two dozen hosts at once, and its link may be no faster than theirs; a longer text is
-/// read from the store.
-const SHORT: usize = 16 * 1024;
+/// Longest text or difference, in bytes, that a peer tells along with its version. A
+/// reader tells two dozen hosts at once, and its link may be no faster than theirs; a
+/// longer text is read from the store.
+pub const SHORT: usize = 16 * 1024;
+/// Former texts that are kept, to tell what has changed since: changes may come in quick
+/// succession.
+const FORMER: usize = 2;
 
 /// What one host tells another of the document.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -30,6 +34,12 @@
     /// Its text, where the asker lacks it and it is short or was asked for.
     #[prost(string, optional, tag = "3")]
     pub text: Option<String>,
+    /// In the place of the text, what has changed since the asker's version.
+    #[prost(message, optional, tag = "4")]
+    pub delta: Option<Delta>,
+    /// The version that the asker named.
+    #[prost(uint64, tag = "5")]
+    pub have: u64,
 }
 
 /// What a peer's notice means to the host that asked.
@@ -53,6 +63,9 @@
     as_of: Option<Moment>,
     /// Newest version that is known to stand.
     newest: u64,
+    /// Texts before, newest last, each with its difference to the newest once it was
+    /// asked for.
+    former: Vec<(Arc<Entry>, Option<Delta>)>,
 }
 
 impl Document {
@@ -89,27 +102,51 @@
             return false;
         }
         let is_newer = entry.version > self.version();
+        if is_newer {
+            self.keep_former();
+        }
         self.newest = self.newest.max(entry.version);
         self.entry = Some(entry);
         self.renew(as_of);
         is_newer
     }
 
-    /// What a host is told that has the text of version `have`; none before the first text.
-    pub fn notice(&self, now: Moment, have: u64) -> Option<Notice> {
-        let mut notice = self.with_text(now, have)?;
-        notice.text = notice.text.filter(|text| text.len() <= SHORT);
-        Some(notice)
+    fn keep_former(&mut self) {
+        self.former.iter_mut().for_each(|(_, delta)| *delta = None);
+        self.former.extend(self.entry.take().map(|entry| (entry, None)));
+        let over = self.former.len().saturating_sub(FORMER);
+        self.former.drain(..over);
     }
 
-    /// The same with the text, however long it is.
-    pub fn with_text(&self, now: Moment, have: u64) -> Option<Notice> {
-        let (entry, as_of) = (self.entry.as_ref()?, self.as_of?);
-        Some(Notice {
+    /// What a host is told that has the text of version `have`, with what it lacks if that
+    /// has at most so many bytes; none before the first text.
+    pub fn notice(&mut self, now: Moment, have: u64, most: usize) -> Option<Notice> {
+        let (entry, as_of) = (self.entry.clone()?, self.as_of?);
+        let mut notice = Notice {
             version: entry.version,
             age_us: now.since(as_of).as_micros() as u64,
-            text: (entry.version > have).then(|| entry.value.clone()),
-        })
+            have,
+            ..Notice::default()
+        };
+        if entry.version <= have {
+            return Some(notice);
+        }
+        if entry.value.len() > SHORT {
+            notice.delta = self
+                .delta(&entry, have)
+                .filter(|delta| delta.encoded_len() <= most);
+        }
+        if notice.delta.is_none() && entry.value.len() <= most {
+            notice.text = Some(entry.value.clone());
+        }
+        Some(notice)
+    }
+
+    fn delta(&mut self, entry: &Entry, have: u64) -> Option<Delta> {
+        let mut former = self.former.iter_mut();
+        let (text, delta) = former.find(|(former, _)| former.version == have)?;
+        let delta = delta.get_or_insert_with(|| Delta::between(&text.value, &entry.value));
+        Some(delta.clone())
     }
 
     /// Takes in what a peer told when it was asked at `asked`.
@@ -125,9 +162,15 @@
             return News::Proven(as_of);
         }
         self.newest = self.newest.max(notice.version);
-        match notice.text {
+        match notice.text.or_else(|| self.changed(notice.have, notice.delta?)) {
             Some(text) => News::Text(as_of, notice.version, text),
             None => News::Newer(notice.version),
         }
     }
+
+    /// The text that a difference to version `have` makes.
+    fn changed(&self, have: u64, delta: Delta) -> Option<String> {
+        let entry = self.entry.as_ref().filter(|entry| entry.version == have)?;
+        delta.apply(&entry.value)
+    }
 }
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, Uri};
 use prost::Message;
-use radishstair_core::gate::document::Notice;
+use radishstair_core::gate::document::{Notice, SHORT};
 use radishstair_core::gate::mirror::Changes;
 
 use super::reply::{Body, answer};
@@ -51,7 +51,7 @@
     };
     let changes = shared.mirror().changes(shared.now(), after);
     let changes = changes.map(|changes| Changes {
-        document: document::notice(shared, have),
+        document: document::notice(shared, have, SHORT),
         ..changes
     });
     encoded(changes)
@@ -59,7 +59,7 @@
 
 fn respond_document(shared: &Shared, uri: &Uri) -> Response<Body> {
     match number(uri, HAVE) {
-        Some(have) => encoded(document::with_text(shared, have)),
+        Some(have) => encoded(document::notice(shared, have, usize::MAX)),
         None => answer(StatusCode::BAD_REQUEST, "have: a number is needed\n"),
     }
 }
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -222,12 +222,8 @@
     }
 }
 
-/// What a peer is told that has the text of version `have`.
-pub fn notice(shared: &Shared, have: u64) -> Option<Notice> {
-    shared.document().notice(shared.now(), have)
-}
-
-/// The same with the text, however long.
-pub fn with_text(shared: &Shared, have: u64) -> Option<Notice> {
-    shared.document().with_text(shared.now(), have)
+/// What a peer is told that has the text of version `have`, with at most so many bytes of
+/// what it lacks.
+pub fn notice(shared: &Shared, have: u64, most: usize) -> Option<Notice> {
+    shared.document().notice(shared.now(), have, most)
 }
--- a/tests/suite/gate/document.rs
+++ b/tests/suite/gate/document.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::gate::document::{Document, News};
+use radishstair_core::gate::delta::Delta;
+use radishstair_core::gate::document::{Document, News, SHORT};
 use radishstair_core::store::Entry;
 use radishstair_core::time::Moment;
 
@@ -28,8 +29,8 @@
 /// Guards against a proof that grows with the document: whoever has the text is told a version.
 #[test]
 fn a_host_that_has_the_text_is_told_its_version_only() {
-    let reader = host(7, 1_000, at(0));
-    let notice = reader.notice(at(100), 7).expect("it has a text");
+    let mut reader = host(7, 1_000, at(0));
+    let notice = reader.notice(at(100), 7, SHORT).expect("it has a text");
     assert_eq!((notice.version, notice.text.as_deref()), (7, None));
     let mut asker = host(7, 1_000, at(0));
     assert_eq!(asker.hear(at(600), notice), News::Proven(at(500)));
@@ -39,13 +40,13 @@
 #[test]
 fn a_large_text_is_not_told_along_with_its_version() {
     let mut asker = host(6, 1_000, at(0));
-    let short = host(7, 1_000, at(400)).notice(at(500), 6).expect("a text");
+    let short = host(7, 1_000, at(400)).notice(at(500), 6, SHORT).expect("a text");
     assert!(matches!(asker.clone().hear(at(500), short), News::Text(as_of, 7, _) if as_of == at(400)));
-    let reader = host(7, 500_000, at(400));
-    let large = reader.notice(at(500), 6).expect("a text");
+    let mut reader = host(7, 500_000, at(400));
+    let large = reader.notice(at(500), 6, SHORT).expect("a text");
     assert_eq!(asker.hear(at(500), large), News::Newer(7));
     assert!(asker.is_behind() && asker.version() == 6);
-    let asked_for = reader.with_text(at(600), 6).expect("a text");
+    let asked_for = reader.notice(at(600), 6, usize::MAX).expect("a text");
     assert!(matches!(asker.hear(at(600), asked_for), News::Text(..)));
 }
 
@@ -53,7 +54,9 @@
 #[test]
 fn a_version_that_has_to_be_read_proves_nothing_of_the_known_one() {
     let mut asker = host(6, 10, at(0));
-    let notice = host(7, 500_000, at(900)).notice(at(1_000), 6).expect("a text");
+    let notice = host(7, 500_000, at(900))
+        .notice(at(1_000), 6, SHORT)
+        .expect("a text");
     asker.hear(at(1_000), notice);
     assert_eq!(asker.age(at(1_500)), Some(Duration::from_millis(1_500)));
     assert!(asker.take(at(1_200), text(7, 500_000)));
@@ -66,7 +69,7 @@
 fn an_older_text_is_not_taken() {
     let mut document = host(7, 10, at(500));
     assert!(!document.take(at(600), text(6, 10)));
-    let notice = host(6, 10, at(700)).notice(at(700), 0).expect("a text");
+    let notice = host(6, 10, at(700)).notice(at(700), 0, SHORT).expect("a text");
     assert_eq!(document.hear(at(700), notice), News::Older);
     assert_eq!(
         (document.version(), document.age(at(700))),
@@ -77,7 +80,70 @@
 /// Guards against a host that knows no text and tells its peers that it does.
 #[test]
 fn a_host_without_a_text_tells_nothing() {
-    let document = Document::default();
+    let mut document = Document::default();
     assert!(document.is_behind());
-    assert!(document.notice(at(0), 0).is_none() && document.with_text(at(0), 0).is_none());
+    assert!(document.notice(at(0), 0, SHORT).is_none() && document.notice(at(0), 0, usize::MAX).is_none());
+}
+
+/// Rows of a document, as the operator writes them.
+fn rows(version: u64, count: u32, changed: Option<u32>) -> String {
+    let row = |at| {
+        let timeout = if changed == Some(at) { 900 } else { 2_000 };
+        format!("{{\"name\":\"r-{at}\",\"host\":\"books.example\",\"timeout\":{timeout}}}")
+    };
+    let rows: Vec<String> = (0..count).map(row).collect();
+    format!("{{\"version\":{version},\"routes\":[{}]}}", rows.join(","))
+}
+
+/// Guards against a difference that makes another text, or is taken for another former one.
+#[test]
+fn a_difference_makes_the_new_text_of_the_former_one_only() {
+    let texts = [
+        rows(1, 2_000, None),
+        rows(2, 2_000, Some(700)),
+        rows(3, 2_400, None),
+        rows(4, 30, Some(3)),
+        String::new(),
+        "é}ü}".into(),
+    ];
+    for (former, new) in texts
+        .iter()
+        .flat_map(|former| texts.iter().map(move |new| (former, new)))
+    {
+        let delta = Delta::between(former, new);
+        assert_eq!(delta.apply(former).as_ref(), Some(new));
+        let others = texts.iter().filter(|other| *other != former);
+        for made in others.filter_map(|other| delta.apply(other)) {
+            assert_eq!(&made, new);
+        }
+    }
+}
+
+/// Guards against a change of one row that costs each host the whole document.
+#[test]
+fn a_small_change_of_a_large_document_comes_along_with_its_version() {
+    let entry = |version, value| {
+        Arc::new(Entry {
+            key: "document".into(),
+            version,
+            value,
+        })
+    };
+    let (former, new) = (rows(1, 4_000, None), rows(2, 4_000, Some(9)));
+    let (mut reader, mut asker) = (Document::default(), Document::default());
+    reader.take(at(0), entry(6, former.clone()));
+    asker.take(at(0), entry(6, former));
+    reader.take(at(400), entry(7, new.clone()));
+    let notice = reader.notice(at(500), 6, SHORT).expect("a text");
+    assert!(notice.text.is_none() && notice.delta.is_some());
+    assert_eq!(
+        asker.clone().hear(at(500), notice.clone()),
+        News::Text(at(400), 7, new)
+    );
+    asker.take(at(450), entry(8, "a newer one, read meanwhile".into()));
+    assert_eq!(asker.hear(at(500), notice), News::Older);
+    assert!(
+        reader.notice(at(500), 5, SHORT).expect("a text").delta.is_none(),
+        "not kept"
+    );
 }
