Whoever has just read a newer document is asked for what has changed of it

Cause, from the logs: readers behind thin links take 0.7 s to read the newer text; their proof gets old meanwhile, and those who ask them ask the store past 1.3 s. Readers behind wide links had it after 65 ms, but only their own askers learnt of it.

Change: the datagram by which a reader tells that it has found something new names the version of the document that it has. A host that lacks it asks the sender for at most 16 KB of what has changed; the reader behind the widest link says so first, whoever that is. If the difference is larger, the host reads the store, as before.

Also here: - A host asked different peers for a text over one set of connections, which may lead to one address only: the second peer's question could go to the first one. Each question has its own connection now; they are rare. - A host that knows of a newer version serves by the former one until its proof is as old as the bound of configuration, not 0.8 of it: the newer one was acknowledged after the proof, so no margin is needed.

Tried and reverted: asking the store by itself only past 1.5 s.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -76,10 +76,6 @@
     2_000
 }
 
-/// Part of the time for a change that a host which knows of it may serve by the former
-/// document. The rest covers the request's way to the runner.
-const SUPERSEDED_PART: f64 = 0.8;
-
 /// Part of the revocation bound for which a proof of freshness carries. The
 /// rest covers the call's way to the runner and a pause of this process
 /// between the check and the write.
@@ -108,9 +104,10 @@
 pub const LAST_RANK: u8 = 9;
 
 impl Bounds {
-    /// How old the proof of a document may be once a newer one is known to stand.
+    /// How old the proof of a document may be once a newer one is known to stand. The newer
+    /// one was acknowledged after the proof, so this keeps the bound without a margin.
     pub fn superseded(&self) -> Duration {
-        Duration::from_millis((self.configuration_ms as f64 * SUPERSEDED_PART) as u64)
+        Duration::from_millis(self.configuration_ms)
     }
 
     /// How old the proof may be when a keyed request is passed on.
--- a/crates/core/src/gate/gossip.rs
+++ b/crates/core/src/gate/gossip.rs
@@ -108,6 +108,9 @@
     /// Says only that the sender has just read something new in the store.
     #[prost(bool, tag = "6")]
     pub nudge: bool,
+    /// Beside a nudge: version of the operator's document that the sender has.
+    #[prost(uint64, tag = "9")]
+    pub document: u64,
 }
 
 /// Time between packets among `hosts`.
@@ -232,6 +235,7 @@
         holders: Vec::new(),
         zone: fleet.zone.clone(),
         nudge: false,
+        document: 0,
     }
 }
 
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -73,8 +73,10 @@
     document: Mutex<Document>,
     /// Since when the store has not answered this host.
     lost_since: Mutex<Option<Moment>>,
-    /// A peer told of a document whose text has to be read.
+    /// A newer document is known to stand.
     document_wanted: Notify,
+    /// The peer that has it, if one said so by itself.
+    document_holder: Mutex<Option<SocketAddr>>,
     /// Something new was read in the store; the peers are to hear of it.
     found: Notify,
     /// A peer has read something new in the store.
@@ -103,6 +105,7 @@
             document: Mutex::default(),
             lost_since: Mutex::default(),
             document_wanted: Notify::new(),
+            document_holder: Mutex::default(),
             found: Notify::new(),
             nudged: Notify::new(),
             running: flight::Count::default(),
@@ -129,6 +132,12 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    fn document_holder(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.document_holder
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A round began that the store did not answer.
     fn store_lost(&self, began: Moment) {
         let mut since = self.lost_since.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/gate/call.rs
+++ b/crates/entry/src/gate/call.rs
@@ -13,6 +13,14 @@
 /// Longest wait for a write to the store.
 pub const WRITE: Duration = Duration::from_millis(800);
 
+/// How an answer is waited for whose size is not known beforehand: only its silence and
+/// a bound far above the time of a megabyte on a thin link end it.
+pub const LONG: Patience = Patience {
+    head: Duration::from_millis(1_200),
+    silence: Duration::from_millis(1_200),
+    whole: Duration::from_secs(12),
+};
+
 /// Asks the store within a time limit and counts what came of it.
 pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
     ask_patiently(shared, asker, call, Patience::within(limit)).await
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -16,7 +16,7 @@
 
 use super::reply::{Body, answer};
 use super::store::{Asked, Asker, Patience};
-use super::{Shared, document};
+use super::{Shared, call, document};
 
 const CHANGES: &str = "/changes";
 const DOCUMENT: &str = "/document";
@@ -24,6 +24,8 @@
 const AFTER: &str = "after";
 /// Query parameter: version of the document whose text the asker has.
 const HAVE: &str = "have";
+/// Query parameter: most bytes that are to come of what the asker lacks.
+const MOST: &str = "most";
 /// Longest wait for a peer's answer to begin, a new connection to it included: a host
 /// whose peer is cut off must still read the store in time to leave runners alone that
 /// have left two seconds ago.
@@ -36,6 +38,13 @@
 /// peer's link with answers that nobody takes.
 const WAIT_WHOLE: Duration = Duration::from_secs(2);
 
+/// How a short answer is waited for.
+const PATIENCE: Patience = Patience {
+    head: WAIT_HEAD,
+    silence: WAIT,
+    whole: WAIT,
+};
+
 /// Answers a peer.
 pub fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
@@ -58,10 +67,10 @@
 }
 
 fn respond_document(shared: &Shared, uri: &Uri) -> Response<Body> {
-    match number(uri, HAVE) {
-        Some(have) => encoded(document::notice(shared, have, usize::MAX)),
-        None => answer(StatusCode::BAD_REQUEST, "have: a number is needed\n"),
-    }
+    let (Some(have), Some(most)) = (number(uri, HAVE), number(uri, MOST)) else {
+        return answer(StatusCode::BAD_REQUEST, "have, most: numbers are needed\n");
+    };
+    encoded(document::notice(shared, have, most as usize))
 }
 
 fn encoded(message: Option<impl Message>) -> Response<Body> {
@@ -80,29 +89,33 @@
 /// Asks a peer for what came after a revision, and for the document if it is newer than
 /// version `have`; none if it cannot tell.
 pub async fn ask(shared: &Shared, asker: &Asker, peer: SocketAddr, after: u64, have: u64) -> Option<Changes> {
-    let whole = if after == 0 { WAIT_WHOLE } else { WAIT };
-    let patience = Patience {
-        head: WAIT_HEAD,
-        silence: whole,
-        whole,
+    let patience = match after {
+        0 => Patience {
+            silence: WAIT_WHOLE,
+            whole: WAIT_WHOLE,
+            ..PATIENCE
+        },
+        _ => PATIENCE,
     };
     let path = format!("{CHANGES}?{AFTER}={after}&{HAVE}={have}");
-    call(shared, asker, peer, "peer", &path, patience).await
+    ask_path(shared, asker, peer, "peer", &path, patience).await
 }
 
-/// Asks a peer for the text of the document if it is newer than version `have`.
+/// Asks a peer for the document if it is newer than version `have`, with at most so many
+/// bytes of what is lacking.
 pub async fn ask_document(
     shared: &Shared,
     asker: &Asker,
     peer: SocketAddr,
     have: u64,
-    patience: Patience,
+    most: usize,
 ) -> Option<Notice> {
-    let path = format!("{DOCUMENT}?{HAVE}={have}");
-    call(shared, asker, peer, "peer-document", &path, patience).await
+    let patience = if most <= SHORT { PATIENCE } else { call::LONG };
+    let path = format!("{DOCUMENT}?{HAVE}={have}&{MOST}={most}");
+    ask_path(shared, asker, peer, "peer-document", &path, patience).await
 }
 
-async fn call<M: Message + Default>(
+async fn ask_path<M: Message + Default>(
     shared: &Shared,
     asker: &Asker,
     peer: SocketAddr,
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -5,40 +5,32 @@
 //! a text reads it from the store, whose link is wide, and from a peer where the store
 //! does not answer. A text that is under way is waited for as long as it goes on coming.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::gate::document::{News, Notice};
+use radishstair_core::gate::document::{News, Notice, SHORT};
 use radishstair_core::gate::share::{self, Share};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 
 use super::Shared;
 use super::backoff::Backoff;
-use super::call;
+use super::call::{self, LONG};
 use super::changes;
-use super::store::{Asker, Patience};
+use super::store::Asker;
 use super::sync::ROUND;
 
 /// Age of the proof past which a host that hears nothing from its peers asks the store:
-/// a reader's round and its own.
+/// a reader's round and its own. A reader behind a thin link may be reading a new text.
 const UNHEARD: Duration = Duration::from_millis(1_300);
 /// Shortest time between two looks at the age.
 const LEAST: Duration = Duration::from_millis(50);
-/// How a text is waited for. Its size is not known beforehand, so only its silence and
-/// a bound far above the time of a megabyte on a thin link end it.
-const PATIENCE: Patience = Patience {
-    head: Duration::from_millis(1_200),
-    silence: Duration::from_millis(1_200),
-    whole: Duration::from_secs(12),
-};
-
 /// Reads the document when it is due, until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Arc<Asker>) {
     let mut keeper = Keeper {
         shared,
         store,
-        peers: Asker::default(),
         share: Share::default(),
         backoff: Backoff::default(),
         unanswered: false,
@@ -55,7 +47,6 @@
 struct Keeper {
     shared: Arc<Shared>,
     store: Arc<Asker>,
-    peers: Asker,
     share: Share,
     backoff: Backoff,
     /// Whether the last question for the version got no answer.
@@ -67,6 +58,10 @@
     async fn round(&mut self) -> Duration {
         let began = self.shared.now();
         let reads = self.is_reader();
+        let holder = self.shared.document_holder().take();
+        if let Some(peer) = holder {
+            self.ask(peer, SHORT).await;
+        }
         let (is_behind, age) = {
             let document = self.shared.document();
             (document.is_behind(), document.age(began).unwrap_or(Duration::MAX))
@@ -101,7 +96,7 @@
             true => Call::Get { key },
             false => Call::Renew { key, version },
         };
-        let page = call::ask_patiently(&self.shared, &self.store, &call, PATIENCE).await;
+        let page = call::ask_patiently(&self.shared, &self.store, &call, LONG).await;
         self.unanswered = page.answer == Answer::Lost && matches!(call, Call::Renew { .. });
         if matches!(page.answer, Answer::Same | Answer::Found(_)) {
             self.shared.store_regained(sent);
@@ -129,14 +124,22 @@
         let Some(peer) = self.share.any(now, me, &self.shared.peers.load()) else {
             return false;
         };
-        let have = self.shared.document().version();
-        let told = changes::ask_document(&self.shared, &self.peers, peer, have, PATIENCE).await;
-        let is_new = told.is_some_and(|notice| hear(&self.shared, now, notice));
+        let is_new = self.ask(peer, usize::MAX).await;
         if !is_new {
             self.share.silent(self.shared.now(), peer);
         }
         is_new
     }
+
+    /// Asks a peer for at most so many bytes of what is lacking; whether that came.
+    async fn ask(&self, peer: SocketAddr, most: usize) -> bool {
+        let asked = self.shared.now();
+        let have = self.shared.document().version();
+        // An asker's connections all lead to one address, and peers are asked here once in a while.
+        let asker = Asker::default();
+        let told = changes::ask_document(&self.shared, &asker, peer, have, most).await;
+        told.is_some_and(|notice| hear(&self.shared, asked, notice))
+    }
 }
 
 /// The text that is known was the newest at `as_of`.
@@ -222,6 +225,17 @@
     }
 }
 
+/// A peer says by itself that it has a version: it has just read something new.
+///
+/// Of several that read, the one behind the widest link says so first, and is asked for
+/// what has changed while the others may still be reading.
+pub fn hear_version(shared: &Shared, peer: SocketAddr, version: u64) {
+    if version > shared.document().newest() {
+        *shared.document_holder() = Some(peer);
+        shared.document_wanted.notify_one();
+    }
+}
+
 /// What a peer is told that has the text of version `have`, with at most so many bytes of
 /// what it lacks.
 pub fn notice(shared: &Shared, have: u64, most: usize) -> Option<Notice> {
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -11,7 +11,7 @@
 use radishstair_core::gate::gossip::{self, Holder, Packet};
 use tokio::net::UdpSocket;
 
-use super::Shared;
+use super::{Shared, document};
 
 /// Most bytes of one datagram; loads of 1,500 runners fit in.
 const DATAGRAM: usize = 48 * 1024;
@@ -112,6 +112,7 @@
     Packet {
         incarnation: shared.me.0,
         nudge: true,
+        document: shared.document().version(),
         ..Packet::default()
     }
 }
@@ -148,6 +149,7 @@
         };
         if let Ok(packet) = Packet::decode(&bytes[..length]) {
             if packet.nudge {
+                document::hear_version(&shared, peer, packet.document);
                 shared.nudged.notify_one();
                 continue;
             }
