Tests that freeze a host wait until it stands still

SIGSTOP stops a process when the thread that takes the signal gets a processor; until then its other threads run on, and take a posting that the test writes right after the signal. The host was right: the key was still valid.

Change: the tests wait until all threads are stopped before they write. The twin tests on the product's own front wait alike.

--- a/tests/suite/duties_live.rs
+++ b/tests/suite/duties_live.rs
@@ -40,7 +40,7 @@
     let site = site().plan(|plan| plan.fenced = checked).start();
     site.wait("somebody is in charge", |site| holder(site, "orders").is_some());
     let first = holder(&site, "orders").expect("a holder");
-    site.signal(first, Signal::SIGSTOP);
+    site.freeze(first);
     site.wait("another takes over", |site| {
         let others = (0..4).filter(|at| *at != first);
         let duties = |at: usize| site.status(at).map_or(Vec::new(), |status| status.duties);
--- a/tests/suite/live.rs
+++ b/tests/suite/live.rs
@@ -25,7 +25,7 @@
     let site = site().start();
     let caller = site.caller();
     let ticket = caller.tickets(site.entry(0), 1).expect("a ticket").remove(0);
-    site.signal(0, Signal::SIGSTOP);
+    site.freeze(0);
     let unheard = site.post(&hasty(), 0, 1, &ticket);
     assert_eq!(unheard.status, 0, "a frozen host gives no answer");
     let elsewhere = site.post(
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -348,6 +348,18 @@
         kill(pid, signal).expect("the process is there");
     }
 
+    /// Stops an entry host, and waits until none of its threads runs any more: one that
+    /// waits for a processor lets the others run on until it gets one.
+    pub fn freeze(&self, at: usize) {
+        self.signal(at, Signal::SIGSTOP);
+        let tasks = format!("/proc/{}/task", self.entries[at].id());
+        self.wait("all threads stand still", |_| {
+            let tasks = std::fs::read_dir(&tasks).expect("it is there").flatten();
+            let states = tasks.map(|task| std::fs::read_to_string(task.path().join("stat")));
+            states.flatten().all(|stat| stat.contains(") T "))
+        });
+    }
+
     /// Kills an entry host and starts it again with empty memory.
     pub fn restart(&mut self, at: usize) {
         let _ = self.entries[at].kill();
