Hosts behind wide links read the store, and each is asked within its zone

Seen (trial, 73 hosts): readers were taken by hash alone, four of five behind links of 10 Mbit/s. While such a reader takes in a document of 0.7 MB (0.9 s), its listings wait behind it, its askers find it not fresh (97 times in a second), list the store themselves, and past 1.3 s read the whole document there. Hosts behind wide links read the same text in 65 ms.

Change: each host says in its datagrams which link it has (the platform's setting) and in which zone it is. Readers are taken zone by zone, the widest link of each first, by hash among equals; where nothing is known or all links are alike that is the former choice. A host asks a reader of its own zone if there is one, which also saves bytes between zones. A host repeats its first datagram when it learns of new peers, so that places are known before traffic comes.

Why datagrams and not the record in the store: hosts of the former version refuse a record with a field they do not know, and would count fewer peers during a rollout; an unknown field of a datagram is passed over. Hosts that know different places agree less on who reads, which costs calls and no promise: any host answers any other.

Test: hosts_behind_wide_links_read_and_are_asked_within_their_zone (new); the tests of readers go by hosts in the place of addresses, with the same assertions.

--- a/crates/core/src/gate/gossip.rs
+++ b/crates/core/src/gate/gossip.rs
@@ -111,6 +111,9 @@
     /// Beside a nudge: version of the operator's document that the sender has.
     #[prost(uint64, tag = "9")]
     pub document: u64,
+    /// Bandwidth of the sender's link, in Mbit/s.
+    #[prost(uint32, tag = "10")]
+    pub link_mbps: u32,
 }
 
 /// Time between packets among `hosts`.
@@ -236,6 +239,7 @@
         zone: fleet.zone.clone(),
         nudge: false,
         document: 0,
+        link_mbps: 0,
     }
 }
 
--- a/crates/core/src/gate/share.rs
+++ b/crates/core/src/gate/share.rs
@@ -2,11 +2,13 @@
 //!
 //! Each call to the store costs, and hundreds of hosts that all read hundreds of
 //! keys twice a second would fill it. So a few hosts read, the same on every host
-//! that knows the same peers, and each other host asks one of them for the age of
-//! its proof and for what has changed. Nobody is in charge: a host whose peer does
+//! that knows the same peers: in each availability zone those behind the widest links,
+//! as a reader moves most of what is new. Each other host asks one of them, of its own
+//! zone if there is one, for the age of its proof and for what has changed. Nobody is in charge: a host whose peer does
 //! not answer, or has no fresh proof, reads the store itself, and one that the
 //! store turns away asks a peer.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,6 +29,19 @@
 /// of keys takes a small host most of a second.
 const FRESH_ANEW: Duration = Duration::from_millis(1_300);
 
+plain! {
+    /// A host that lives, as others know it.
+    #[derive(Copy, Eq)]
+    pub struct Host {
+        /// Where peers reach it.
+        pub address: SocketAddr,
+        /// Hash of its availability zone's name; 0 while that is not known.
+        pub zone: u64,
+        /// Bandwidth of its link, in Mbit/s; 0 while that is not known.
+        pub link_mbps: u32,
+    }
+}
+
 plain! {
     /// Where a host learns what is new.
     #[derive(Copy, Eq)]
@@ -56,25 +71,25 @@
 
 impl Share {
     /// Where to look first. `hosts` are all that live, `me` among them.
-    pub fn first(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Source {
+    pub fn first(&mut self, now: Moment, me: SocketAddr, hosts: &[Host]) -> Source {
         if reads(me, hosts) {
             return Source::Store;
         }
-        self.nearest(now, me, &readers(hosts))
+        self.nearest(now, me, hosts, &readers(hosts))
             .map_or(Source::Store, Source::Peer)
     }
 
     /// Any host that is not resting, another one for each that asks.
-    pub fn any(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
-        self.nearest(now, me, hosts)
+    pub fn any(&mut self, now: Moment, me: SocketAddr, hosts: &[Host]) -> Option<SocketAddr> {
+        self.nearest(now, me, hosts, hosts)
     }
 
     /// Whom to ask when the store does not answer: another reader, else any host,
     /// as the store may turn away all that read and serve others.
-    pub fn instead(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+    pub fn instead(&mut self, now: Moment, me: SocketAddr, hosts: &[Host]) -> Option<SocketAddr> {
         let readers = readers(hosts);
-        self.nearest(now, me, &readers)
-            .or_else(|| self.nearest(now, me, hosts))
+        self.nearest(now, me, hosts, &readers)
+            .or_else(|| self.nearest(now, me, hosts, hosts))
     }
 
     /// A host did not answer, or did not know more.
@@ -83,26 +98,38 @@
         self.resting.push((host, now + REST));
     }
 
-    fn nearest(&mut self, now: Moment, me: SocketAddr, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+    /// The host of `among` that serves this one, of its own zone if there is any.
+    fn nearest(&mut self, now: Moment, me: SocketAddr, hosts: &[Host], among: &[Host]) -> Option<SocketAddr> {
         self.resting.retain(|(_, until)| !now.reached(*until));
         let own = rank(&me);
-        let rests = |host: &SocketAddr| self.resting.iter().any(|(have, _)| have == host);
-        let others = hosts.iter().filter(|host| **host != me && !rests(host));
-        others.max_by_key(|host| weight(rank(host), own)).copied()
+        let zone = find(me, hosts).map_or(0, |host| host.zone);
+        let rests = |host: &Host| self.resting.iter().any(|(have, _)| *have == host.address);
+        let others = among.iter().filter(|host| host.address != me && !rests(host));
+        let nearest = others.max_by_key(|host| (host.zone == zone, weight(rank(&host.address), own)));
+        nearest.map(|host| host.address)
     }
 }
 
 /// Whether a host reads the store; so does one that is not known to live yet.
-pub fn reads(me: SocketAddr, hosts: &[SocketAddr]) -> bool {
-    !hosts.contains(&me) || readers(hosts).contains(&me)
+pub fn reads(me: SocketAddr, hosts: &[Host]) -> bool {
+    find(me, hosts).is_none() || find(me, &readers(hosts)).is_some()
 }
 
 /// The hosts that read, the same on every host that knows the same ones.
-fn readers(hosts: &[SocketAddr]) -> Vec<SocketAddr> {
+fn readers(hosts: &[Host]) -> Vec<Host> {
     let mut hosts = hosts.to_vec();
-    hosts.sort_by_key(rank);
-    hosts.truncate(LEAST + hosts.len() / HOSTS);
-    hosts
+    hosts.sort_by_key(|host| (host.zone, Reverse(host.link_mbps), rank(&host.address)));
+    let mut placed: Vec<(usize, Host)> = Vec::with_capacity(hosts.len());
+    for zone in hosts.chunk_by(|one, other| one.zone == other.zone) {
+        placed.extend(zone.iter().copied().enumerate());
+    }
+    placed.sort_by_key(|(place, host)| (*place, Reverse(host.link_mbps), rank(&host.address)));
+    placed.truncate(LEAST + hosts.len() / HOSTS);
+    placed.into_iter().map(|(_, host)| host).collect()
+}
+
+fn find(address: SocketAddr, hosts: &[Host]) -> Option<&Host> {
+    hosts.iter().find(|host| host.address == address)
 }
 
 fn rank(host: &SocketAddr) -> u64 {
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -14,8 +14,9 @@
 use radishstair_core::gate::civil::Civil;
 use radishstair_core::gate::document::Document;
 use radishstair_core::gate::mirror::Mirror;
+use radishstair_core::gate::share::Host;
 use radishstair_core::gate::tally::Record;
-use radishstair_core::id::Incarnation;
+use radishstair_core::id::{Incarnation, digest};
 use radishstair_core::time::Moment;
 use tokio::sync::Notify;
 
@@ -83,6 +84,8 @@
     nudged: Notify,
     running: flight::Count,
     peers: ArcSwap<Vec<SocketAddr>>,
+    /// Where hosts are, as their datagrams tell; sorted by address.
+    places: Mutex<Vec<Host>>,
 }
 
 impl Shared {
@@ -110,9 +113,57 @@
             nudged: Notify::new(),
             running: flight::Count::default(),
             peers: ArcSwap::default(),
+            places: Mutex::default(),
         })
     }
 
+    /// All hosts that live, and where they are as far as they have told.
+    fn hosts(&self) -> Vec<Host> {
+        let own = self.own_place();
+        let places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = |address: &SocketAddr| {
+            let found = places.binary_search_by_key(address, |host| host.address);
+            found.map_or(
+                Host {
+                    address: *address,
+                    zone: 0,
+                    link_mbps: 0,
+                },
+                |at| places[at],
+            )
+        };
+        let peers = self.peers.load();
+        let hosts = peers.iter().map(|address| match *address == own.address {
+            true => own,
+            false => place(address),
+        });
+        hosts.collect()
+    }
+
+    /// This host as it tells others.
+    fn own_place(&self) -> Host {
+        let settings = self.settings.load();
+        Host {
+            address: settings.peer_listen,
+            zone: digest(settings.zone.as_bytes()),
+            link_mbps: settings.link_mbps as u32,
+        }
+    }
+
+    /// Keeps in mind where a host is.
+    fn locate(&self, host: Host) {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        match places.binary_search_by_key(&host.address, |have| have.address) {
+            Ok(at) => places[at] = host,
+            Err(_) => {
+                let peers = self.peers.load();
+                places.retain(|have| peers.contains(&have.address));
+                places.push(host);
+                places.sort_unstable_by_key(|have| have.address);
+            }
+        }
+    }
+
     /// The beliefs; held for microseconds, never across a wait.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -82,7 +82,7 @@
 
     fn is_reader(&self) -> bool {
         let me = self.shared.settings.load().peer_listen;
-        share::reads(me, &self.shared.peers.load())
+        share::reads(me, &self.shared.hosts())
     }
 
     /// Reads from the store; whether it answered.
@@ -121,7 +121,7 @@
     async fn ask_peer(&mut self) -> bool {
         let now = self.shared.now();
         let me = self.shared.settings.load().peer_listen;
-        let Some(peer) = self.share.any(now, me, &self.shared.peers.load()) else {
+        let Some(peer) = self.share.any(now, me, &self.shared.hosts()) else {
             return false;
         };
         let is_new = self.ask(peer, usize::MAX).await;
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -9,6 +9,8 @@
 
 use prost::Message;
 use radishstair_core::gate::gossip::{self, Holder, Packet};
+use radishstair_core::gate::share::Host;
+use radishstair_core::id::digest;
 use tokio::net::UdpSocket;
 
 use super::{Shared, document};
@@ -34,6 +36,7 @@
         near_knows_idle: false,
         far_knows_idle: false,
         untold: Vec::new(),
+        told: Arc::default(),
     };
     loop {
         let beyond = far.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -61,6 +64,8 @@
     far_knows_idle: bool,
     /// What other zones were not told yet.
     untold: Vec<Holder>,
+    /// Peers that were told last.
+    told: Arc<Vec<SocketAddr>>,
 }
 
 impl Teller {
@@ -72,7 +77,9 @@
             let mut state = self.shared.state();
             (state.packet(now, self.shared.me, self.number), state.hosts)
         };
+        packet.link_mbps = self.shared.own_place().link_mbps;
         packet.record = self.record(gossip::has_record(self.number));
+        self.greet();
         self.untold.extend(packet.holders.iter().copied());
         self.untold.truncate(UNTOLD);
         let is_far = |peer: &SocketAddr| beyond.binary_search(peer).is_ok();
@@ -93,6 +100,17 @@
         gossip::pause(near as u32, hosts)
     }
 
+    /// Makes the next packets go out though nothing runs here, if there are other peers
+    /// than before: they do not know where this host is.
+    fn greet(&mut self) {
+        let peers = self.shared.peers.load_full();
+        if !Arc::ptr_eq(&peers, &self.told) && *peers != *self.told {
+            self.near_knows_idle = false;
+            self.far_knows_idle = false;
+        }
+        self.told = peers;
+    }
+
     /// The usage record of this run, if it is due.
     fn record(&self, is_due: bool) -> Vec<u8> {
         if !is_due {
@@ -154,6 +172,11 @@
                 continue;
             }
             let now = shared.now();
+            shared.locate(Host {
+                address: peer,
+                zone: digest(packet.zone.as_bytes()),
+                link_mbps: packet.link_mbps,
+            });
             let mut state = shared.state();
             locate(&far, peer, packet.zone != state.fleet.zone);
             state.hear(now, shared.me, packet);
--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use radishstair_core::gate::share::Host;
 use radishstair_core::gate::tally::{Presence, Record};
 use radishstair_core::id::Incarnation;
 use radishstair_core::store::{Answer, Call, Entry};
@@ -283,7 +284,7 @@
 
 /// Addresses of the runs that a page of the store's keys shows, for a host that has
 /// read no more yet.
-pub fn hosts(entries: &[Entry]) -> Vec<SocketAddr> {
+pub fn hosts(entries: &[Entry]) -> Vec<Host> {
     let own = entries.iter().filter(|entry| entry.key.starts_with(HOSTS));
     let here = own
         .filter_map(parse::<Presence>)
@@ -291,5 +292,10 @@
     let mut hosts: Vec<SocketAddr> = here.filter_map(|presence| presence.peer.parse().ok()).collect();
     hosts.sort_unstable();
     hosts.dedup();
-    hosts
+    let unplaced = |address| Host {
+        address,
+        zone: 0,
+        link_mbps: 0,
+    };
+    hosts.into_iter().map(unplaced).collect()
 }
--- a/crates/entry/src/gate/settings.rs
+++ b/crates/entry/src/gate/settings.rs
@@ -29,6 +29,9 @@
     pub duties: Duties,
     /// Bounds that the platform promises.
     pub bounds: Bounds,
+    /// Bandwidth of this host's link, in Mbit/s; 0 if it is not known.
+    #[serde(default)]
+    pub link_mbps: f64,
     /// Most connections of callers; some of the descriptors are for runners.
     #[serde(default = "default_connections")]
     pub connections: usize,
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -90,7 +90,7 @@
 impl Reader {
     /// One round; whether it brought news or the proof that there are none.
     async fn round(&mut self, began: Moment) -> bool {
-        let hosts = self.shared.peers.load_full();
+        let hosts = self.shared.hosts();
         let me = self.shared.settings.load().peer_listen;
         let first = self.share.first(began, me, &hosts);
         if let Source::Peer(peer) = first {
--- a/tests/suite/gate/share.rs
+++ b/tests/suite/gate/share.rs
@@ -1,18 +1,21 @@
 //! Who reads the store, and whom the others ask.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use radishstair_core::gate::share::{self, Share, Source};
+use radishstair_core::gate::share::{self, Host, Share, Source};
 use radishstair_core::time::Moment;
 
-fn hosts(count: u8) -> Vec<SocketAddr> {
-    let host = |at: u8| ([10, 1, at / 64, at % 64 + 1], 7_340).into();
+fn hosts(count: u8) -> Vec<Host> {
+    let host = |at: u8| Host {
+        address: ([10, 1, at / 64, at % 64 + 1], 7_340).into(),
+        zone: 0,
+        link_mbps: 0,
+    };
     (0..count).map(host).collect()
 }
 
-fn first(me: SocketAddr, hosts: &[SocketAddr]) -> Source {
-    Share::default().first(Moment::at_ms(1_000), me, hosts)
+fn first(me: Host, hosts: &[Host]) -> Source {
+    Share::default().first(Moment::at_ms(1_000), me.address, hosts)
 }
 
 /// Each call to the store costs, and hundreds of hosts that read it twice a second
@@ -24,13 +27,16 @@
         let hosts = hosts(count);
         let mut turned = hosts.clone();
         turned.reverse();
-        let reads = |host: &&SocketAddr| first(**host, &hosts) == Source::Store;
-        let readers: Vec<SocketAddr> = hosts.iter().filter(reads).copied().collect();
+        let reads = |host: &&Host| first(**host, &hosts) == Source::Store;
+        let readers: Vec<Host> = hosts.iter().filter(reads).copied().collect();
         assert_eq!(readers.len(), few, "{count} hosts");
         for host in &hosts {
             match first(*host, &turned) {
                 Source::Store => assert!(readers.contains(host)),
-                Source::Peer(peer) => assert!(readers.contains(&peer) && !readers.contains(host)),
+                Source::Peer(peer) => {
+                    assert!(readers.iter().any(|reader| reader.address == peer));
+                    assert!(!readers.contains(host));
+                }
             }
         }
     }
@@ -55,6 +61,7 @@
         .iter()
         .find(|host| first(**host, &all) != Source::Store)
         .expect("not all read");
+    let me = me.address;
     let mut share = Share::default();
     let now = Moment::at_ms(1_000);
     let mut asked = Vec::new();
@@ -73,13 +80,16 @@
 #[test]
 fn a_host_that_the_store_turns_away_asks_its_peers() {
     let all = hosts(4);
-    let reads = |host: &&SocketAddr| first(**host, &all) == Source::Store;
-    let readers: Vec<SocketAddr> = all.iter().filter(reads).copied().collect();
+    let reads = |host: &&Host| first(**host, &all) == Source::Store;
+    let readers: Vec<Host> = all.iter().filter(reads).copied().collect();
     let mut share = Share::default();
     let now = Moment::at_ms(1_000);
-    assert_eq!(share.instead(now, readers[0], &all), Some(readers[1]));
+    assert_eq!(
+        share.instead(now, readers[0].address, &all),
+        Some(readers[1].address)
+    );
     let mut asked = Vec::new();
-    while let Some(peer) = share.instead(now, readers[0], &all) {
+    while let Some(peer) = share.instead(now, readers[0].address, &all) {
         asked.push(peer);
         share.silent(now, peer);
     }
@@ -105,3 +115,24 @@
     );
     assert!(!share::helps(at(1_500), at(100), Some(known)));
 }
+
+/// Guards against a large document that comes to everybody through thin links.
+#[test]
+fn hosts_behind_wide_links_read_and_are_asked_within_their_zone() {
+    let mut all = hosts(80);
+    for (at, host) in all.iter_mut().enumerate() {
+        host.zone = 1 + at as u64 % 4;
+        host.link_mbps = if at / 4 == 7 { 200 } else { 10 };
+    }
+    let reads = |host: &Host| first(*host, &all) == Source::Store;
+    let readers: Vec<&Host> = all.iter().filter(|host| reads(host)).collect();
+    assert_eq!(readers.len(), 5);
+    assert_eq!(readers.iter().filter(|host| host.link_mbps == 200).count(), 4);
+    for host in all.iter().filter(|host| !reads(host)) {
+        let Source::Peer(peer) = first(*host, &all) else {
+            unreachable!("it does not read");
+        };
+        let peer = readers.iter().find(|reader| reader.address == peer);
+        assert_eq!(peer.expect("it is a reader").zone, host.zone);
+    }
+}
