While the store answers a host nothing, only the listing asks it often

With the document apart, a host without the store made two calls where it made one: the listing's and the document's, each some times a second, and refused calls are calls as well. Found by reading the change. While the host has lost the store, the document is asked for each 1.2 s, and at once when the listing is answered again, so that nothing comes later than before. Live tests of outages pass as they were.

--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -204,9 +204,16 @@
         if let Some(since) = since.take() {
             let away_ms = asked.since(since).as_millis() as u64;
             tracing::info!(event = "store-regained", away_ms);
+            self.document_wanted.notify_one();
         }
     }
 
+    /// Whether the store answers this host nothing.
+    fn is_store_lost(&self) -> bool {
+        let since = self.lost_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.is_some()
+    }
+
     /// Now.
     pub fn now(&self) -> Moment {
         self.clock.now()
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -26,6 +26,10 @@
 const UNHEARD: Duration = Duration::from_millis(1_300);
 /// Shortest time between two looks at the age.
 const LEAST: Duration = Duration::from_millis(50);
+/// Pause while the store answers this host nothing. The listing asks again sooner, and its
+/// first answer ends the pause.
+const AWAY: Duration = Duration::from_millis(1_200);
+
 /// Reads the document when it is due, until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Arc<Asker>) {
     let mut keeper = Keeper {
@@ -71,7 +75,11 @@
         }
         let came = self.read(is_behind, reads).await || (is_behind && self.ask_peer().await);
         if !came {
-            return self.backoff.pause(rand::random());
+            let pause = self.backoff.pause(rand::random());
+            return match self.shared.is_store_lost() {
+                true => pause.max(AWAY),
+                false => pause,
+            };
         }
         self.backoff.reset();
         match reads {
