Readers are ranked once per host

Found by the test of a fleet in memory, which took minutes: each look at who reads made the text of an address and its hash for every comparison of a sort, twice a round and host. At 410 hosts that is some 15,000 texts a round on a small host's control thread. Each host's rank is worked out once. The choice is the same; its tests are unchanged.

--- a/crates/core/src/gate/share.rs
+++ b/crates/core/src/gate/share.rs
@@ -117,15 +117,17 @@
 
 /// The hosts that read, the same on every host that knows the same ones.
 fn readers(hosts: &[Host]) -> Vec<Host> {
-    let mut hosts = hosts.to_vec();
-    hosts.sort_by_key(|host| (host.zone, Reverse(host.link_mbps), rank(&host.address)));
-    let mut placed: Vec<(usize, Host)> = Vec::with_capacity(hosts.len());
-    for zone in hosts.chunk_by(|one, other| one.zone == other.zone) {
-        placed.extend(zone.iter().copied().enumerate());
+    let most = LEAST + hosts.len() / HOSTS;
+    let key = |host: &Host| (host.zone, Reverse(host.link_mbps), rank(&host.address));
+    let mut hosts: Vec<_> = hosts.iter().map(|host| (key(host), *host)).collect();
+    hosts.sort_unstable_by_key(|(key, _)| *key);
+    let mut placed = Vec::with_capacity(hosts.len());
+    for zone in hosts.chunk_by(|(_, one), (_, other)| one.zone == other.zone) {
+        placed.extend(zone.iter().enumerate());
     }
-    placed.sort_by_key(|(place, host)| (*place, Reverse(host.link_mbps), rank(&host.address)));
-    placed.truncate(LEAST + hosts.len() / HOSTS);
-    placed.into_iter().map(|(_, host)| host).collect()
+    placed.sort_unstable_by_key(|(place, ((_, link, rank), _))| (*place, *link, *rank));
+    placed.truncate(most);
+    placed.into_iter().map(|(_, (_, host))| *host).collect()
 }
 
 fn find(address: SocketAddr, hosts: &[Host]) -> Option<&Host> {
