--- a/crates/core/src/gate/document.rs
+++ b/crates/core/src/gate/document.rs
@@ -132,9 +132,7 @@
             return Some(notice);
         }
         if entry.value.len() > SHORT {
-            notice.delta = self
-                .delta(&entry, have)
-                .filter(|delta| delta.encoded_len() <= most);
+            notice.delta = self.delta(&entry, have, most);
         }
         if notice.delta.is_none() && entry.value.len() <= most {
             notice.text = Some(entry.value.clone());
@@ -142,11 +140,12 @@
         Some(notice)
     }
 
-    fn delta(&mut self, entry: &Entry, have: u64) -> Option<Delta> {
+    /// What has changed since version `have`, if that has at most so many bytes.
+    fn delta(&mut self, entry: &Entry, have: u64, most: usize) -> Option<Delta> {
         let mut former = self.former.iter_mut();
         let (text, delta) = former.find(|(former, _)| former.version == have)?;
         let delta = delta.get_or_insert_with(|| Delta::between(&text.value, &entry.value));
-        Some(delta.clone())
+        (delta.encoded_len() <= most).then(|| delta.clone())
     }
 
     /// Takes in what a peer told when it was asked at `asked`.
