When a host asks for the document is decided in the core; a fleet over thin links in memory

The decisions of the keeper of the document (rest, ask for the version, read the text; pauses after failures) move from the shell to core::gate::refresh, with the backoff that both rounds use. One change of behaviour: a host of a fleet that knows its peers and no document, as before the first one is written, looked each 50 ms; it looks each round now.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -12,6 +12,7 @@
 use crate::id::Incarnation;
 use crate::time::Moment;
 
+pub mod backoff;
 pub mod budget;
 pub mod civil;
 pub mod delta;
@@ -25,6 +26,7 @@
 pub mod place;
 pub mod prefix;
 pub mod proof;
+pub mod refresh;
 pub mod report;
 pub mod route;
 pub mod services;
--- a/crates/core/src/gate/backoff.rs
+++ b/crates/core/src/gate/backoff.rs
@@ -1,4 +1,4 @@
-//! Pauses after rounds that failed.
+//! Pauses after rounds that failed, for a shell that draws.
 
 use std::time::Duration;
 
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -27,7 +27,6 @@
 
 pub mod accept;
 pub mod admin;
-pub mod backoff;
 pub mod beliefs;
 pub mod call;
 pub mod changes;
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -10,25 +10,15 @@
 use std::time::Duration;
 
 use radishstair_core::gate::document::{News, Notice, SHORT};
+use radishstair_core::gate::refresh::{Failure, Plan, Standing, Step};
 use radishstair_core::gate::share::{self, Share};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 
 use super::Shared;
-use super::backoff::Backoff;
 use super::call::{self, LONG};
 use super::changes;
 use super::store::Asker;
-use super::sync::ROUND;
-
-/// Age of the proof past which a host that hears nothing from its peers asks the store:
-/// a reader's round and its own. A reader behind a thin link may be reading a new text.
-const UNHEARD: Duration = Duration::from_millis(1_300);
-/// Shortest time between two looks at the age.
-const LEAST: Duration = Duration::from_millis(50);
-/// Pause while the store answers this host nothing. The listing asks again sooner, and its
-/// first answer ends the pause.
-const AWAY: Duration = Duration::from_millis(1_200);
 
 /// Reads the document when it is due, until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Arc<Asker>) {
@@ -36,8 +26,7 @@
         shared,
         store,
         share: Share::default(),
-        backoff: Backoff::default(),
-        unanswered: false,
+        plan: Plan::default(),
     };
     loop {
         let pause = keeper.round().await;
@@ -52,39 +41,41 @@
     shared: Arc<Shared>,
     store: Arc<Asker>,
     share: Share,
-    backoff: Backoff,
-    /// Whether the last question for the version got no answer.
-    unanswered: bool,
+    plan: Plan,
 }
 
 impl Keeper {
     /// Reads the document if it is due; the time until the next look.
     async fn round(&mut self) -> Duration {
         let began = self.shared.now();
-        let reads = self.is_reader();
         let holder = self.shared.document_holder().take();
         if let Some(peer) = holder {
             self.ask(peer, SHORT).await;
         }
-        let (is_behind, age) = {
-            let document = self.shared.document();
-            (document.is_behind(), document.age(began).unwrap_or(Duration::MAX))
-        };
-        if !reads && !is_behind && age < UNHEARD {
-            return (UNHEARD - age).max(LEAST);
+        let standing = self.standing();
+        let step = self.plan.step(standing);
+        if let Step::Rest(pause) = step {
+            return pause;
         }
-        let came = self.read(is_behind, reads).await || (is_behind && self.ask_peer().await);
-        if !came {
-            let pause = self.backoff.pause(rand::random());
-            return match self.shared.is_store_lost() {
-                true => pause.max(AWAY),
-                false => pause,
-            };
+        let Err(failure) = self.read(step, standing.reads).await else {
+            let took = self.shared.now().since(began);
+            return self.plan.answered(took);
+        };
+        if standing.is_behind && self.ask_peer().await {
+            return self.plan.answered(Duration::ZERO);
         }
-        self.backoff.reset();
-        match reads {
-            true => ROUND.saturating_sub(self.shared.now().since(began)),
-            false => LEAST,
+        let is_away = self.shared.is_store_lost();
+        self.plan.failed(step, failure, is_away, rand::random())
+    }
+
+    fn standing(&self) -> Standing {
+        let now = self.shared.now();
+        let reads = self.is_reader();
+        let document = self.shared.document();
+        Standing {
+            reads,
+            is_behind: document.is_behind(),
+            age: document.age(now),
         }
     }
 
@@ -93,36 +84,31 @@
         share::reads(me, &self.shared.hosts())
     }
 
-    /// Reads from the store; whether it answered.
-    async fn read(&mut self, is_behind: bool, reads: bool) -> bool {
+    /// Asks the store.
+    async fn read(&self, step: Step, reads: bool) -> Result<(), Failure> {
         let sent = self.shared.now();
         let key = self.shared.dialect.keys().document.to_string();
         let version = self.shared.document().version();
-        // A conditional change whose answer was lost may lose the next one, too; a plain
-        // read brings the whole text, and is answered.
-        let call = match is_behind || self.unanswered {
-            true => Call::Get { key },
-            false => Call::Renew { key, version },
+        let call = match step {
+            Step::Renew => Call::Renew { key, version },
+            Step::Read | Step::Rest(_) => Call::Get { key },
         };
         let page = call::ask_patiently(&self.shared, &self.store, &call, LONG).await;
-        self.unanswered = page.answer == Answer::Lost && matches!(call, Call::Renew { .. });
-        if matches!(page.answer, Answer::Same | Answer::Found(_)) {
-            self.shared.store_regained(sent);
-        }
         match page.answer {
             Answer::Same => renew(&self.shared, sent),
+            // No entry: the operator has written no document yet.
             Answer::Found(entries) => {
-                let Some(entry) = entries.into_iter().next() else {
-                    // No operator has written one yet.
-                    return true;
-                };
-                if take(&self.shared, sent, entry) && reads {
+                let entry = entries.into_iter().next();
+                let is_new = entry.is_some_and(|entry| take(&self.shared, sent, entry));
+                if is_new && reads {
                     self.shared.found.notify_one();
                 }
             }
-            _ => return false,
+            Answer::Refused => return Err(Failure::Refused),
+            Answer::Lost | Answer::Written(_) | Answer::Conflict(_) => return Err(Failure::Lost),
         }
-        true
+        self.shared.store_regained(sent);
+        Ok(())
     }
 
     /// Asks a peer for a text that the store does not give; whether it came.
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -10,13 +10,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use radishstair_core::gate::backoff::Backoff;
+use radishstair_core::gate::refresh::ROUND;
 use radishstair_core::gate::share::{self, Share, Source};
 use radishstair_core::gate::{STORE_ASKED, mirror};
 use radishstair_core::store::{Answer, Call, Entry};
 use radishstair_core::time::Moment;
 use tokio::sync::mpsc;
 
-use super::backoff::Backoff;
 use super::beliefs::Beliefs;
 use super::call::{self, LIMIT};
 use super::records::{self, COUNTS, NOTHING, Own, PREFIX};
@@ -24,10 +25,6 @@
 use super::{Shared, changes, document};
 use crate::upstream::pool::Pool;
 
-/// Time between the beginnings of two rounds. Withdrawn routes must stop within
-/// two seconds, also where the word of a peer that has read something new is lost:
-/// its round, one's own, and an answer that is lost fit in.
-pub(super) const ROUND: Duration = Duration::from_millis(600);
 /// Shortest time between the beginnings of two rounds, however often peers say
 /// that there is something new.
 const LEAST: Duration = Duration::from_millis(50);
--- a/tests/suite/gate.rs
+++ b/tests/suite/gate.rs
@@ -11,6 +11,7 @@
 mod model;
 mod pace;
 mod place;
+mod refresh;
 mod schedule;
 mod share;
 mod usage;
