Usual names: timeouts, slow and fast links

Reading the change as a newcomer: 'patience' was a set of timeouts, 'thin' and 'wide' links are slow and fast ones, 'greet' announces to new peers. No change of behaviour.

--- a/crates/core/src/gate/refresh.rs
+++ b/crates/core/src/gate/refresh.rs
@@ -13,7 +13,7 @@
 /// its round, one's own, and an answer that is lost fit in.
 pub const ROUND: Duration = Duration::from_millis(600);
 /// Age of the proof past which a host that hears nothing from its peers asks the store:
-/// a reader's round and its own. A reader behind a thin link may be reading a new text.
+/// a reader's round and its own. A reader with a slow link may be reading a new text.
 const UNHEARD: Duration = Duration::from_millis(1_300);
 /// Shortest time between two looks at the age.
 const LEAST: Duration = Duration::from_millis(50);
--- a/crates/core/src/gate/share.rs
+++ b/crates/core/src/gate/share.rs
@@ -2,11 +2,11 @@
 //!
 //! Each call to the store costs, and hundreds of hosts that all read hundreds of
 //! keys twice a second would fill it. So a few hosts read, the same on every host
-//! that knows the same peers: in each availability zone those behind the widest links,
+//! that knows the same peers: in each availability zone those with the fastest links,
 //! as a reader moves most of what is new. Each other host asks one of them, of its own
-//! zone if there is one, for the age of its proof and for what has changed. Nobody is in charge: a host whose peer does
-//! not answer, or has no fresh proof, reads the store itself, and one that the
-//! store turns away asks a peer.
+//! zone if there is one, for the age of its proof and for what has changed. Nobody is in
+//! charge: a host whose peer does not answer, or has no fresh proof, reads the store
+//! itself, and one that the store turns away asks a peer.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
--- a/crates/entry/src/gate/call.rs
+++ b/crates/entry/src/gate/call.rs
@@ -6,28 +6,28 @@
 
 use super::Shared;
 use super::dialect::Page;
-use super::store::{Asked, Asker, Patience};
+use super::store::{Asked, Asker, Timeouts};
 
 /// Keys of a page that are asked for.
 pub const LIMIT: u32 = 500;
 /// Longest wait for a write to the store.
 pub const WRITE: Duration = Duration::from_millis(800);
 
-/// How an answer is waited for whose size is not known beforehand: only its silence and
-/// a bound far above the time of a megabyte on a thin link end it.
-pub const LONG: Patience = Patience {
+/// Timeouts of a transfer whose size is not known beforehand: it goes on while bytes come,
+/// up to a total far above what a megabyte takes over a slow link.
+pub const TRANSFER: Timeouts = Timeouts {
     head: Duration::from_millis(1_200),
-    silence: Duration::from_millis(1_200),
-    whole: Duration::from_secs(12),
+    idle: Duration::from_millis(1_200),
+    total: Duration::from_secs(12),
 };
 
 /// Asks the store within a time limit and counts what came of it.
 pub async fn ask(shared: &Shared, asker: &Asker, call: &Call, limit: Duration) -> Page {
-    ask_patiently(shared, asker, call, Patience::within(limit)).await
+    ask_with(shared, asker, call, Timeouts::within(limit)).await
 }
 
-/// The same, as long as the answer goes on coming.
-pub async fn ask_patiently(shared: &Shared, asker: &Asker, call: &Call, patience: Patience) -> Page {
+/// The same with other timeouts.
+pub async fn ask_with(shared: &Shared, asker: &Asker, call: &Call, timeouts: Timeouts) -> Page {
     let asked = shared.now();
     let address = shared.settings.load().store;
     let request = shared.dialect.call(call);
@@ -36,7 +36,7 @@
         more: false,
         revision: 0,
     };
-    let (page, bytes) = match asker.ask_patiently(address, request, patience).await {
+    let (page, bytes) = match asker.ask_with(address, request, timeouts).await {
         Asked::Answer(status, body) => (shared.dialect.answer(call, status, &body), body.len()),
         Asked::Never => (unanswered(Answer::Refused), 0),
         Asked::Lost { came } => (unanswered(Answer::Lost), came),
--- a/crates/entry/src/gate/changes.rs
+++ b/crates/entry/src/gate/changes.rs
@@ -15,7 +15,7 @@
 use radishstair_core::gate::mirror::Changes;
 
 use super::reply::{Body, answer};
-use super::store::{Asked, Asker, Patience};
+use super::store::{Asked, Asker, Timeouts};
 use super::{Shared, call, document};
 
 const CHANGES: &str = "/changes";
@@ -38,11 +38,11 @@
 /// peer's link with answers that nobody takes.
 const WAIT_WHOLE: Duration = Duration::from_secs(2);
 
-/// How a short answer is waited for.
-const PATIENCE: Patience = Patience {
+/// Timeouts of a short answer.
+const SHORT_ANSWER: Timeouts = Timeouts {
     head: WAIT_HEAD,
-    silence: WAIT,
-    whole: WAIT,
+    idle: WAIT,
+    total: WAIT,
 };
 
 /// Answers a peer.
@@ -89,16 +89,16 @@
 /// Asks a peer for what came after a revision, and for the document if it is newer than
 /// version `have`; none if it cannot tell.
 pub async fn ask(shared: &Shared, asker: &Asker, peer: SocketAddr, after: u64, have: u64) -> Option<Changes> {
-    let patience = match after {
-        0 => Patience {
-            silence: WAIT_WHOLE,
-            whole: WAIT_WHOLE,
-            ..PATIENCE
+    let timeouts = match after {
+        0 => Timeouts {
+            idle: WAIT_WHOLE,
+            total: WAIT_WHOLE,
+            ..SHORT_ANSWER
         },
-        _ => PATIENCE,
+        _ => SHORT_ANSWER,
     };
     let path = format!("{CHANGES}?{AFTER}={after}&{HAVE}={have}");
-    ask_path(shared, asker, peer, "peer", &path, patience).await
+    ask_path(shared, asker, peer, "peer", &path, timeouts).await
 }
 
 /// Asks a peer for the document if it is newer than version `have`, with at most so many
@@ -110,9 +110,13 @@
     have: u64,
     most: usize,
 ) -> Option<Notice> {
-    let patience = if most <= SHORT { PATIENCE } else { call::LONG };
+    let timeouts = if most <= SHORT {
+        SHORT_ANSWER
+    } else {
+        call::TRANSFER
+    };
     let path = format!("{DOCUMENT}?{HAVE}={have}&{MOST}={most}");
-    ask_path(shared, asker, peer, "peer-document", &path, patience).await
+    ask_path(shared, asker, peer, "peer-document", &path, timeouts).await
 }
 
 async fn ask_path<M: Message + Default>(
@@ -121,13 +125,13 @@
     peer: SocketAddr,
     name: &'static str,
     path: &str,
-    patience: Patience,
+    timeouts: Timeouts,
 ) -> Option<M> {
     let asked = shared.now();
     let mut request = Request::new(Bytes::new());
     // Made of fixed words and numbers only.
     *request.uri_mut() = path.parse().unwrap_or_default();
-    let answer = asker.ask_patiently(peer, request, patience).await;
+    let answer = asker.ask_with(peer, request, timeouts).await;
     let took = shared.now().since(asked);
     let (told, outcome, bytes) = match answer {
         Asked::Answer(StatusCode::OK, body) => {
--- a/crates/entry/src/gate/document.rs
+++ b/crates/entry/src/gate/document.rs
@@ -2,7 +2,7 @@
 //!
 //! A host that reads the store asks in each round whether its version still stands,
 //! which takes a few bytes. The other hosts hear versions from their peers. Whoever lacks
-//! a text reads it from the store, whose link is wide, and from a peer where the store
+//! a text reads it from the store, whose link is fast, and from a peer where the store
 //! does not answer. A text that is under way is waited for as long as it goes on coming.
 
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 use radishstair_core::time::Moment;
 
 use super::Shared;
-use super::call::{self, LONG};
+use super::call::{self, TRANSFER};
 use super::changes;
 use super::store::Asker;
 
@@ -93,7 +93,7 @@
             Step::Renew => Call::Renew { key, version },
             Step::Read | Step::Rest(_) => Call::Get { key },
         };
-        let page = call::ask_patiently(&self.shared, &self.store, &call, LONG).await;
+        let page = call::ask_with(&self.shared, &self.store, &call, TRANSFER).await;
         match page.answer {
             Answer::Same => renew(&self.shared, sent),
             // No entry: the operator has written no document yet.
@@ -221,7 +221,7 @@
 
 /// A peer says by itself that it has a version: it has just read something new.
 ///
-/// Of several that read, the one behind the widest link says so first, and is asked for
+/// Of several that read, the one with the fastest link says so first, and is asked for
 /// what has changed while the others may still be reading.
 pub fn hear_version(shared: &Shared, peer: SocketAddr, version: u64) {
     if version > shared.document().newest() {
--- a/crates/entry/src/gate/peers.rs
+++ b/crates/entry/src/gate/peers.rs
@@ -79,7 +79,7 @@
         };
         packet.link_mbps = self.shared.own_place().link_mbps;
         packet.record = self.record(gossip::has_record(self.number));
-        self.greet();
+        self.announce_to_new_peers();
         self.untold.extend(packet.holders.iter().copied());
         self.untold.truncate(UNTOLD);
         let is_far = |peer: &SocketAddr| beyond.binary_search(peer).is_ok();
@@ -102,7 +102,7 @@
 
     /// Makes the next packets go out though nothing runs here, if there are other peers
     /// than before: they do not know where this host is.
-    fn greet(&mut self) {
+    fn announce_to_new_peers(&mut self) {
         let peers = self.shared.peers.load_full();
         if !Arc::ptr_eq(&peers, &self.told) && *peers != *self.told {
             self.near_knows_idle = false;
--- a/crates/entry/src/gate/store.rs
+++ b/crates/entry/src/gate/store.rs
@@ -37,24 +37,24 @@
     },
 }
 
-/// How long an answer is waited for.
+/// Timeouts of one call.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
-    /// Until its head has come, a new connection included.
+pub struct Timeouts {
+    /// Until the answer's head has come, a new connection included.
     pub head: Duration,
-    /// Between two of its parts.
-    pub silence: Duration,
-    /// Until all of it has come.
-    pub whole: Duration,
+    /// Between two parts of the answer.
+    pub idle: Duration,
+    /// Until all of the answer has come.
+    pub total: Duration,
 }
 
-impl Patience {
+impl Timeouts {
     /// One limit for everything.
     pub const fn within(limit: Duration) -> Self {
         Self {
             head: limit,
-            silence: limit,
-            whole: limit,
+            idle: limit,
+            total: limit,
         }
     }
 }
@@ -68,28 +68,22 @@
 impl Asker {
     /// Asks within a time limit.
     pub async fn ask(&self, address: SocketAddr, request: Request<Bytes>, limit: Duration) -> Asked {
-        self.ask_patiently(address, request, Patience::within(limit))
-            .await
+        self.ask_with(address, request, Timeouts::within(limit)).await
     }
 
-    /// Asks, and waits for an answer as long as it goes on coming.
-    pub async fn ask_patiently(
-        &self,
-        address: SocketAddr,
-        request: Request<Bytes>,
-        patience: Patience,
-    ) -> Asked {
+    /// Asks with these timeouts.
+    pub async fn ask_with(&self, address: SocketAddr, request: Request<Bytes>, timeouts: Timeouts) -> Asked {
         let mut left = false;
         let began = Instant::now();
-        let (line, response) = match timeout(patience.head, self.send(address, request, &mut left)).await {
+        let (line, response) = match timeout(timeouts.head, self.send(address, request, &mut left)).await {
             Ok(Ok(begun)) => begun,
             Ok(Err(asked)) => return asked,
             Err(_) if left => return Asked::Lost { came: 0 },
             Err(_) => return Asked::Never,
         };
-        let rest = patience.whole.saturating_sub(began.elapsed());
+        let rest = timeouts.total.saturating_sub(began.elapsed());
         let mut body = BytesMut::new();
-        let collecting = self.collect(line, response, patience.silence, &mut body);
+        let collecting = self.collect(line, response, timeouts.idle, &mut body);
         match timeout(rest, collecting).await {
             Ok(Some(status)) => Asked::Answer(status, body.freeze()),
             Ok(None) | Err(_) => Asked::Lost { came: body.len() },
@@ -122,14 +116,14 @@
         &self,
         line: Line,
         response: Response<Incoming>,
-        silence: Duration,
-        whole: &mut BytesMut,
+        idle: Duration,
+        received: &mut BytesMut,
     ) -> Option<StatusCode> {
         let (parts, body) = response.into_parts();
         let mut body = Limited::new(body, BYTES);
-        while let Some(frame) = timeout(silence, body.frame()).await.ok()? {
+        while let Some(frame) = timeout(idle, body.frame()).await.ok()? {
             if let Ok(data) = frame.ok()?.into_data() {
-                whole.extend_from_slice(&data);
+                received.extend_from_slice(&data);
             }
         }
         if !line::closes(&parts.headers) {
--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -31,9 +31,9 @@
 /// Longest wait for one page; a slow store takes a quarter of a second.
 const PAGE: Duration = Duration::from_millis(700);
 /// Age of what is known of a long list up to which a host that no peer helps asks the
-/// next peer instead of reading it. Hundreds of hosts that read thousands of runners at once kept the
-/// store's link full, and each other from reading; runners that leave must get nothing
-/// new after two seconds.
+/// next peer instead of reading it. Hundreds of hosts that read thousands of runners at
+/// once kept the store's link full, and each other from reading; runners that leave must
+/// get nothing new after two seconds.
 const LISTED: Duration = Duration::from_millis(1_600);
 /// Times that a host which has just started asks a peer before it reads a long list
 /// itself: the peer may have just started, too, and be reading.
--- a/tests/suite/gate/refresh.rs
+++ b/tests/suite/gate/refresh.rs
@@ -12,8 +12,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Bytes a millisecond of a thin host's link, and of the store's.
-const THIN: u64 = 1_250;
+/// Bytes a millisecond of a slow host's link, and of the store's.
+const SLOW: u64 = 1_250;
 const STORE: u64 = 125_000;
 /// Bytes of a small answer.
 const SMALL: u64 = 200;
@@ -195,7 +195,7 @@
             };
             let left = self.now.max(self.store_free) + bytes / STORE;
             self.store_free = left;
-            let come = left.max(self.nodes[node].link_free) + bytes / THIN;
+            let come = left.max(self.nodes[node].link_free) + bytes / SLOW;
             self.nodes[node].link_free = come;
             let took = come + 4 - self.now;
             if took > self.patience {
@@ -258,7 +258,7 @@
 /// the links: each host's own, and the store's for all.
 fn play(mut world: World) -> Result<(), &'static str> {
     let (hosts, bytes) = (world.nodes.len(), world.document.value.len());
-    let passing = bytes as u64 / THIN + (hosts * bytes) as u64 / STORE;
+    let passing = bytes as u64 / SLOW + (hosts * bytes) as u64 / STORE;
     let fresh = |world: &World, when| match world.stale(Duration::from_secs(3)) {
         0 => Ok(()),
         _ => Err(when),
--- a/tests/suite/gate/share.rs
+++ b/tests/suite/gate/share.rs
@@ -116,9 +116,9 @@
     assert!(!share::helps(at(1_500), at(100), Some(known)));
 }
 
-/// Guards against a large document that comes to everybody through thin links.
+/// Guards against a large document that comes to everybody through slow links.
 #[test]
-fn hosts_behind_wide_links_read_and_are_asked_within_their_zone() {
+fn hosts_with_fast_links_read_and_are_asked_within_their_zone() {
     let mut all = hosts(80);
     for (at, host) in all.iter_mut().enumerate() {
         host.zone = 1 + at as u64 % 4;
