--- a/crates/entry/src/gate/sync.rs
+++ b/crates/entry/src/gate/sync.rs
@@ -1,5 +1,5 @@
 //! Keeping the beliefs up to date from the platform's store, but for the operator's
-//! [document](super::document).
+//! [`document`].
 //!
 //! A few hosts read all keys anew each round: an open watch is no proof (it may be
 //! cut without a sign, or hear nothing while history is dropped). The other hosts
