--- a/tests/suite/gate/fleet.rs
+++ b/tests/suite/gate/fleet.rs
@@ -38,6 +38,16 @@
     assert_eq!(open(&fleet, 8_500), ["a"]);
 }
 
+/// Guards against a runner gone during a cut that gets requests until one more list has come.
+#[test]
+fn an_entry_that_stays_away_after_a_cut_is_gone_in_time() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.list(at(0), listed(&["a", "b"]));
+    fleet.list(at(6_000), listed(&["a"]));
+    fleet.list(at(8_200), listed(&["a"]));
+    assert_eq!(open(&fleet, 8_500), ["a"]);
+}
+
 /// Requests go to a runner that has left. Its entry is removed while the store
 /// is sound; that is its leave, and it counts at once.
 #[test]
