A host that has not told where it is, made in one place

Found by reading the change: the same value (no zone, no link) was written out in the list of hosts, in the hosts of a first page and in a test. One constructor serves all three.

--- a/crates/core/src/gate/share.rs
+++ b/crates/core/src/gate/share.rs
@@ -42,6 +42,17 @@
     }
 }
 
+impl Host {
+    /// A host that has not told yet where it is.
+    pub fn unplaced(address: SocketAddr) -> Self {
+        Self {
+            address,
+            zone: 0,
+            link_mbps: 0,
+        }
+    }
+}
+
 plain! {
     /// Where a host learns what is new.
     #[derive(Copy, Eq)]
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -122,14 +122,7 @@
         let places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
         let place = |address: &SocketAddr| {
             let found = places.binary_search_by_key(address, |host| host.address);
-            found.map_or(
-                Host {
-                    address: *address,
-                    zone: 0,
-                    link_mbps: 0,
-                },
-                |at| places[at],
-            )
+            found.map_or(Host::unplaced(*address), |at| places[at])
         };
         let peers = self.peers.load();
         let hosts = peers.iter().map(|address| match *address == own.address {
--- a/crates/entry/src/gate/records.rs
+++ b/crates/entry/src/gate/records.rs
@@ -292,10 +292,5 @@
     let mut hosts: Vec<SocketAddr> = here.filter_map(|presence| presence.peer.parse().ok()).collect();
     hosts.sort_unstable();
     hosts.dedup();
-    let unplaced = |address| Host {
-        address,
-        zone: 0,
-        link_mbps: 0,
-    };
-    hosts.into_iter().map(unplaced).collect()
+    hosts.into_iter().map(Host::unplaced).collect()
 }
--- a/tests/suite/gate/share.rs
+++ b/tests/suite/gate/share.rs
@@ -6,11 +6,7 @@
 use radishstair_core::time::Moment;
 
 fn hosts(count: u8) -> Vec<Host> {
-    let host = |at: u8| Host {
-        address: ([10, 1, at / 64, at % 64 + 1], 7_340).into(),
-        zone: 0,
-        link_mbps: 0,
-    };
+    let host = |at: u8| Host::unplaced(([10, 1, at / 64, at % 64 + 1], 7_340).into());
     (0..count).map(host).collect()
 }
 
