Send nothing to cold runners nor to evacuated zones

Cause: nothing read how long a runner stays cold, nor which zones the operator has evacuated.

Change: a runner's entry says how long it stays cold, counted from when that version of the entry was first read; until then it is no candidate. The list lags behind restarts, so after lost connections, and when an evacuation ends, a runner of a service with cold starts waits until its entry must show its state. Runners of evacuated zones are not listed as accepting requests, which covers retries, resumptions, the check before the send, prefix copies and the supply that orders count; orders go to the other zones. A starting host reads the evacuated zones before the runners.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -192,6 +192,12 @@
         {
             return false;
         }
+        let cold = table
+            .services()
+            .iter()
+            .filter(|service| service.cold_start.is_some());
+        let cold = cold.map(|service| service.name.clone());
+        self.fleet.set_cold_services(cold.collect());
         self.table = Some(Arc::new(table));
         true
     }
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 use crate::id::digest;
 use crate::time::Moment;
 
+mod cold;
 mod runner;
 
 pub use runner::{AttemptResult, Idle, Listed, Liveness, Load, Runner, Stage};
@@ -55,6 +56,10 @@
     avoided_zones: Vec<(String, Moment)>,
     /// Zones of other hosts, and when each counts as silent unless it is heard again.
     zone_deadlines: Vec<(String, Moment)>,
+    /// Zones that the operator has evacuated, sorted.
+    evacuated_zones: Vec<String>,
+    /// Services with cold starts, sorted.
+    cold_services: Vec<String>,
 }
 
 impl Fleet {
@@ -69,6 +74,8 @@
             recovered_at: None,
             avoided_zones: Vec::new(),
             zone_deadlines: Vec::new(),
+            evacuated_zones: Vec::new(),
+            cold_services: Vec::new(),
         }
     }
 
@@ -135,6 +142,9 @@
             runner.listed.address == item.address && runner.listed.started_ms == item.started_ms;
         let previous = runner.listed.address;
         runner.gone_at = None;
+        if runner.listed.version != item.version || !is_same_process {
+            runner.warm_at = cold::warm_at(sent, item.cold_for);
+        }
         runner.listed = item;
         if is_same_process {
             return Vec::new();
@@ -155,6 +165,8 @@
         let at = self.hashes.partition_point(|(have, _)| *have < hash);
         self.hashes.insert(at, (hash, key));
         self.arena.push(Runner {
+            warm_at: cold::warm_at(first_seen, listed.cold_for),
+            evacuated: self.is_evacuated(&listed.zone),
             listed,
             hash,
             local_load: Load::default(),
@@ -401,6 +413,7 @@
                 }
                 runner.retry_at = now + (MIN_BACKOFF * 2u32.saturating_pow(runner.failures)).min(MAX_BACKOFF);
                 runner.failures = (runner.failures + 1).min(5);
+                self.verify_warmth(now, key);
                 self.record_unreachable(now, &zone);
             }
             AttemptResult::Broken => {
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -44,6 +44,10 @@
         pub reclaimable: bool,
         /// Start time in milliseconds since the Unix epoch; 0 if unknown.
         pub started_ms: u64,
+        /// Store version of the entry.
+        pub version: u64,
+        /// How long it stays cold after the entry was written; zero if it is warm.
+        pub cold_for: Duration,
     }
 }
 
@@ -177,18 +181,27 @@
         pub(super) last_contact: Moment,
         /// When the path to it was last found to be down.
         pub(super) path_lost_at: Option<Moment>,
+        /// When it is warm, as far as is known.
+        pub(super) warm_at: Moment,
+        /// Whether the operator has evacuated its zone.
+        pub(super) evacuated: bool,
     }
 }
 
 impl Runner {
     /// Whether it can be sent new requests.
     pub fn is_available(&self, now: Moment) -> bool {
-        self.is_listed(now) && now.reached(self.retry_at)
+        self.is_listed(now) && now.reached(self.retry_at) && self.is_warm(now)
     }
 
-    /// Whether the list says that it accepts new requests.
+    /// Whether it accepts new requests according to the list, and its zone is not evacuated.
     pub fn is_listed(&self, now: Moment) -> bool {
-        self.is_present(now) && !self.replaced && self.listed.stage == Stage::Ready
+        self.is_present(now) && !self.replaced && !self.evacuated && self.listed.stage == Stage::Ready
+    }
+
+    /// Whether it can take requests at any rate. A cold runner crashes when it gets too many.
+    pub fn is_warm(&self, now: Moment) -> bool {
+        now.reached(self.warm_at)
     }
 
     /// Whether it is listed as shutting down.
--- a/crates/core/src/proxy/route.rs
+++ b/crates/core/src/proxy/route.rs
@@ -121,6 +121,17 @@
     }
 }
 
+plain! {
+    /// How the runners of a service behave after a start, while they are cold.
+    #[derive(Copy)]
+    pub struct ColdStart {
+        /// Time for which a runner is cold.
+        pub duration: Duration,
+        /// Requests per second that a cold runner can take from all hosts together.
+        pub max_rate: f64,
+    }
+}
+
 plain! {
     /// A group of interchangeable runners.
     pub struct Service {
@@ -130,6 +141,8 @@
         pub max_connections: u32,
         /// Engine, if it serves a model.
         pub engine: Option<Engine>,
+        /// Cold start; `None` if a runner can take any rate from its start.
+        pub cold_start: Option<ColdStart>,
         /// Limits for orders of runners; `None` if none may be ordered.
         pub scaling: Option<Scaling>,
     }
--- a/crates/core/src/proxy/scaling.rs
+++ b/crates/core/src/proxy/scaling.rs
@@ -255,10 +255,15 @@
         let Some(price) = scaling.reclaimable_price else {
             return;
         };
+        // Orders for an evacuated zone stay as they are. The other zones replace its runners.
         let zones: Vec<Zone> = by_price(scaling)
             .into_iter()
+            .filter(|name| !fleet.is_evacuated(name))
             .map(|name| Zone::of(now, fleet, &service.name, name))
             .collect();
+        if zones.is_empty() {
+            return;
+        }
         let needed = self.needed(now, service, &zones, price, prefill_rate);
         let count = zones.len() as u32;
         let is_cheap = price < MAX_RECLAIMABLE_PRICE;
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -78,6 +78,8 @@
     pub document: &'static str,
     /// Prefix of the keys of runners.
     pub runner_prefix: &'static str,
+    /// Prefix of the keys of evacuated zones; the rest of a key is the zone.
+    pub evacuation_prefix: &'static str,
 }
 
 /// Translates messages to and from one platform.
--- a/crates/entry/src/proxy/sync.rs
+++ b/crates/entry/src/proxy/sync.rs
@@ -209,23 +209,45 @@
         if self.shared.mirror().revision() > 0 {
             return true;
         }
-        let sent_at = self.shared.now();
-        let call = Call::Range {
-            prefix: self.shared.adapter.store_keys().runner_prefix.to_string(),
-            after: String::new(),
-            limit: PAGE_LIMIT,
+        let keys = self.shared.adapter.store_keys();
+        let Some((_, zones)) = self.read_prefix(keys.evacuation_prefix).await else {
+            return false;
         };
-        let response = call::send_with(&self.shared, &self.store, &call, PAGE_TIMEOUTS).await;
-        let Answer::Found(runners) = response.answer else {
+        self.set_evacuated(&zones);
+        let sent_at = self.shared.now();
+        let Some((has_more, runners)) = self.read_prefix(keys.runner_prefix).await else {
             return false;
         };
         // A part of the list would make the other runners look gone.
-        if !response.has_more {
+        if !has_more {
             self.discovery.apply(sent_at, &runners);
         }
         true
     }
 
+    /// Reads the first page of the keys with a prefix, and whether there are more.
+    async fn read_prefix(&self, prefix: &str) -> Option<(bool, Vec<Entry>)> {
+        let call = Call::Range {
+            prefix: prefix.to_string(),
+            after: String::new(),
+            limit: PAGE_LIMIT,
+        };
+        let response = call::send_with(&self.shared, &self.store, &call, PAGE_TIMEOUTS).await;
+        match response.answer {
+            Answer::Found(entries) => Some((response.has_more, entries)),
+            _ => None,
+        }
+    }
+
+    /// Applies the entries of the evacuated zones.
+    fn set_evacuated(&self, entries: &[Entry]) {
+        let prefix = self.shared.adapter.store_keys().evacuation_prefix;
+        let zones = entries.iter().filter_map(|entry| entry.key.strip_prefix(prefix));
+        let zones = zones.map(str::to_string).collect();
+        let now = self.shared.now();
+        self.shared.state().fleet.set_evacuated(now, zones);
+    }
+
     /// Reads all keys except the document from the store; returns whether all pages arrived.
     async fn read_store(&mut self) -> bool {
         let mut after = String::new();
@@ -296,7 +318,7 @@
     /// Applies the current keys to the state; returns whether any runner has changed.
     fn apply(&mut self) -> bool {
         let keys = self.shared.adapter.store_keys();
-        let (as_of, runners, own_entries) = {
+        let (as_of, evacuated_zones, runners, own_entries) = {
             let mirror = self.shared.mirror();
             let Some(as_of) = mirror.as_of() else {
                 return false;
@@ -304,10 +326,12 @@
             let entries_under = |prefix: &str| mirror.with_prefix(prefix).to_vec();
             (
                 as_of,
+                entries_under(keys.evacuation_prefix),
                 entries_under(keys.runner_prefix),
                 entries_under(KEY_PREFIX),
             )
         };
+        self.set_evacuated(&evacuated_zones);
         let changed = self.discovery.apply(as_of, &runners);
         // If the channel is full, a later round sends a newer snapshot.
         let _ = self.snapshots.try_send(Snapshot {
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -1,6 +1,7 @@
 //! Tests of the opaque proxy's decisions, without network I/O.
 
 mod batch;
+mod cold;
 mod document;
 mod events;
 mod fixtures;
--- a/tests/suite/proxy/fixtures.rs
+++ b/tests/suite/proxy/fixtures.rs
@@ -53,6 +53,7 @@
             kv_tokens: 480_000,
             copies_prefix: true,
         }),
+        cold_start: None,
         scaling: None,
     }
 }
@@ -95,6 +96,8 @@
         slots: 32,
         reclaimable: false,
         started_ms: 1,
+        version: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
