Let two hosts of a zone send to each cold runner

And a restart that only some hosts had noticed, or that happened while the store was away, was not covered.

Change: two hosts of a cold runner's zone, by rendezvous hashing over the live hosts, send to it, each with a fixed gap between requests and no burst: 8 a second of the 10 that it takes. Hosts with different lists of hosts at most double the senders, which stays within the bound. A runner that cannot be reached is doubted, by all hosts as its zone's hosts tell, until a list that was read 2.5 s later, or an answer and the time of a cold start, shows its state. The same after an evacuation.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -192,12 +192,9 @@
         {
             return false;
         }
-        let cold = table
-            .services()
-            .iter()
-            .filter(|service| service.cold_start.is_some());
-        let cold = cold.map(|service| service.name.clone());
-        self.fleet.set_cold_services(cold.collect());
+        let services = table.services().iter();
+        let cold_starts = services.filter_map(|service| Some((service.name.as_str(), service.cold_start?)));
+        self.fleet.set_cold_starts(cold_starts);
         self.table = Some(Arc::new(table));
         true
     }
@@ -392,7 +389,7 @@
             };
         }
         self.fleet
-            .start_request(choice.key, choice.prefill_us, demand.kv_tokens());
+            .start_request(now, choice.key, choice.prefill_us, demand.kv_tokens());
         for (id, tokens) in demand.shared_prefixes() {
             self.prefixes.record(now, id, choice.key);
             if tokens >= MIN_ANNOUNCED_TOKENS {
@@ -462,16 +459,24 @@
     /// Changes of this host's load since the last packet or update; `None` without changes.
     pub fn update(&mut self, me: Incarnation, report: u64, number: u32) -> Option<Update> {
         let loads: Vec<gossip::Load> = self.fleet.take_changed().map(gossip::Load::of).collect();
-        (!loads.is_empty()).then_some(Update {
+        let unreachable = self.fleet.take_unreachable();
+        let has_news = !loads.is_empty() || !unreachable.is_empty();
+        has_news.then_some(Update {
             incarnation: me.0,
             report,
             number,
             loads,
+            unreachable,
         })
     }
 
-    /// Applies a change of another host's load.
+    /// Applies a change of another host's load, and what it could not reach.
     pub fn receive_update(&mut self, now: Moment, update: Update) {
+        for runner in &update.unreachable {
+            if let Some(key) = self.fleet.find_by_hash(*runner) {
+                self.fleet.doubt(now, key);
+            }
+        }
         self.peers.update(now, update, &mut self.fleet);
     }
 
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -58,8 +58,11 @@
     zone_deadlines: Vec<(String, Moment)>,
     /// Zones that the operator has evacuated, sorted.
     evacuated_zones: Vec<String>,
-    /// Services with cold starts, sorted.
-    cold_services: Vec<String>,
+    /// Services with cold starts, sorted by name.
+    cold_services: Vec<cold::Service>,
+    /// This host, and all live hosts of its zone, by the hash of their addresses.
+    own_host: u64,
+    zone_hosts: Vec<u64>,
 }
 
 impl Fleet {
@@ -76,6 +79,8 @@
             zone_deadlines: Vec::new(),
             evacuated_zones: Vec::new(),
             cold_services: Vec::new(),
+            own_host: 0,
+            zone_hosts: Vec::new(),
         }
     }
 
@@ -99,6 +104,9 @@
             self.recovered_at = Some(sent);
         }
         self.last_list = Some(sent);
+        self.arena
+            .iter_mut()
+            .for_each(|runner| runner.cold.read_list(sent));
         if let Some(gone_at) = self.missing_gone_at(sent) {
             for runner in &mut self.arena {
                 runner.gone_at = Some(runner.gone_at.map_or(gone_at, |earlier| earlier.min(gone_at)));
@@ -143,7 +151,7 @@
         let previous = runner.listed.address;
         runner.gone_at = None;
         if runner.listed.version != item.version || !is_same_process {
-            runner.warm_at = cold::warm_at(sent, item.cold_for);
+            runner.cold.read_entry(sent, item.cold_for);
         }
         runner.listed = item;
         if is_same_process {
@@ -165,7 +173,7 @@
         let at = self.hashes.partition_point(|(have, _)| *have < hash);
         self.hashes.insert(at, (hash, key));
         self.arena.push(Runner {
-            warm_at: cold::warm_at(first_seen, listed.cold_for),
+            cold: cold::State::of_entry(first_seen, listed.cold_for),
             evacuated: self.is_evacuated(&listed.zone),
             listed,
             hash,
@@ -214,7 +222,9 @@
 
     /// Runners of a service that can be sent new requests.
     pub fn available<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
-        let serves = move |runner: &Runner| runner.listed.service == service && runner.is_available(now);
+        let serves = move |runner: &Runner| {
+            runner.listed.service == service && runner.is_available(now) && self.may_warm_up(now, runner)
+        };
         let is_reachable = move |runner: &Runner| !self.is_avoided(now, &runner.listed.zone);
         // If all zones seem cut off, they are tried anyway.
         let has_reachable = self
@@ -315,7 +325,8 @@
     }
 
     /// Counts a request on a runner, with its prefill work and the KV cache that it will occupy.
-    pub fn start_request(&mut self, key: Key, prefill_us: u64, kv_tokens: u64) {
+    pub fn start_request(&mut self, now: Moment, key: Key, prefill_us: u64, kv_tokens: u64) {
+        self.delay_next_send(now, key);
         if let Some(runner) = self.get_mut(key) {
             runner.local_load.running += 1;
             runner.local_load.prefill_us += prefill_us;
@@ -404,6 +415,7 @@
                 runner.failures = 0;
                 runner.record_result(result == AttemptResult::Failed);
                 self.avoided_zones.retain(|(have, _)| *have != zone);
+                self.confirm(now, key);
             }
             AttemptResult::Full => runner.retry_at = now + FULL_BACKOFF,
             AttemptResult::Replaced => runner.replaced = true,
@@ -413,7 +425,7 @@
                 }
                 runner.retry_at = now + (MIN_BACKOFF * 2u32.saturating_pow(runner.failures)).min(MAX_BACKOFF);
                 runner.failures = (runner.failures + 1).min(5);
-                self.verify_warmth(now, key);
+                self.doubt_unreachable(now, key);
                 self.record_unreachable(now, &zone);
             }
             AttemptResult::Broken => {
--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -2,15 +2,23 @@
 //!
 //! A runner that has just started is cold for some seconds: it crashes when it gets more than a
 //! few requests a second from all hosts together. It is empty then, so it would look the cheapest
-//! to all hosts at once. No host sends it requests until it is warm.
+//! to all hosts at once. Reports between hosts are too slow to keep them below such a rate.
 //!
-//! The list is seconds old, so it shows a cold start late. When a restart is likely, a runner
-//! counts as cold until the list is recent enough to tell: after its connections were lost, and
-//! when the evacuation of its zone ends.
+//! Two hosts of its zone, selected by rendezvous hashing, may therefore send requests to a cold
+//! runner, each at its part of the rate. While the hosts disagree about which hosts are live, as
+//! during a network cut, there may be twice as many senders, and the runner bears that too. All
+//! other hosts wait until the runner is warm.
+//!
+//! The list lags behind a restart, so the state of a runner is doubted when a restart is likely:
+//! when it cannot be reached, when another host says so, and when the evacuation of its zone
+//! ends. A doubted runner is treated as cold until a later list must show its state, or until it
+//! has answered and the time of a cold start has passed.
 
 use std::time::Duration;
 
 use super::{Fleet, Key, Runner};
+use crate::id::rendezvous_weight;
+use crate::proxy::route::ColdStart;
 use crate::time::Moment;
 
 /// Time by which the store may have read an entry later than the read was sent.
@@ -18,37 +26,179 @@
 /// Time after which a change of a runner's state is in the list: the time between two writes of
 /// its entry, and the delay with which a write becomes visible.
 const ENTRY_DELAY: Duration = Duration::from_millis(2_500);
+/// Time after which a runner is no longer doubted, if neither the list nor an answer has shown its
+/// state.
+const MAX_DOUBT: Duration = Duration::from_secs(10);
+/// Number of hosts that send requests to one cold runner.
+const SENDERS: u32 = 2;
+/// Share of the rate that a cold runner can take which its senders use together.
+const RATE_SHARE: f64 = 0.8;
+
+plain! {
+    /// What a host knows about a runner's cold start.
+    #[derive(Copy, Default)]
+    pub struct State {
+        /// When it is warm, according to its entry or its answers.
+        warm_at: Moment,
+        /// When its state was last doubted; `None` if it is known.
+        doubted_at: Option<Moment>,
+        /// Whether the other hosts have yet to be told that it cannot be reached.
+        is_unreported: bool,
+        /// Earliest time of this host's next request to it while it is cold.
+        next_send: Moment,
+    }
+}
+
+impl State {
+    /// State of a runner whose entry, read at `sent`, says that it stays cold for `cold_for`.
+    pub(super) fn of_entry(sent: Moment, cold_for: Duration) -> Self {
+        let mut state = Self::default();
+        state.read_entry(sent, cold_for);
+        state
+    }
+
+    /// Applies a new version of the runner's entry.
+    pub(super) fn read_entry(&mut self, sent: Moment, cold_for: Duration) {
+        self.warm_at = match cold_for.is_zero() {
+            true => Moment::default(),
+            false => sent + cold_for + READ_DELAY,
+        };
+    }
+
+    /// Ends the doubt if a list that was read at `sent` must show the runner's state.
+    pub(super) fn read_list(&mut self, sent: Moment) {
+        self.doubted_at = self
+            .doubted_at
+            .filter(|doubted_at| sent.since(*doubted_at) < ENTRY_DELAY);
+    }
 
-/// When a runner is warm whose entry, read at `sent`, says that it stays cold for `cold_for`.
-pub(super) fn warm_at(sent: Moment, cold_for: Duration) -> Moment {
-    match cold_for.is_zero() {
-        true => Moment::default(),
-        false => sent + cold_for + READ_DELAY,
+    fn is_warm(&self, now: Moment) -> bool {
+        let is_doubted = |doubted_at: Moment| now.since(doubted_at) < MAX_DOUBT;
+        now.reached(self.warm_at) && !self.doubted_at.is_some_and(is_doubted)
+    }
+}
+
+plain! {
+    /// Cold start of one service's runners.
+    pub struct Service {
+        name: String,
+        duration: Duration,
+        /// Time between two requests of one sender to a cold runner.
+        send_interval: Duration,
     }
 }
 
 impl Runner {
-    fn assume_cold(&mut self, now: Moment) {
-        self.warm_at = self.warm_at.max(now + ENTRY_DELAY);
+    /// Whether it can take requests at any rate.
+    pub fn is_warm(&self, now: Moment) -> bool {
+        self.cold.is_warm(now)
     }
 }
 
 impl Fleet {
     /// Replaces the list of services whose runners start cold.
-    pub fn set_cold_services(&mut self, mut services: Vec<String>) {
-        services.sort_unstable();
-        self.cold_services = services;
+    pub fn set_cold_starts<'a>(&mut self, services: impl Iterator<Item = (&'a str, ColdStart)>) {
+        let service = |(name, cold_start): (&str, ColdStart)| {
+            let rate = cold_start.max_rate * RATE_SHARE / f64::from(SENDERS);
+            Service {
+                name: name.to_string(),
+                duration: cold_start.duration,
+                send_interval: Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX),
+            }
+        };
+        self.cold_services = services.map(service).collect();
+        self.cold_services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    }
+
+    fn cold_service(&self, name: &str) -> Option<&Service> {
+        let found = self
+            .cold_services
+            .binary_search_by(|service| service.name.as_str().cmp(name));
+        found.ok().map(|at| &self.cold_services[at])
+    }
+
+    /// Replaces the list of live hosts in this zone, this host included.
+    pub fn set_zone_hosts(&mut self, own: u64, hosts: Vec<u64>) {
+        self.own_host = own;
+        self.zone_hosts = hosts;
     }
 
-    /// Counts a runner as cold until its entry must show whether it is.
-    pub(super) fn verify_warmth(&mut self, now: Moment, key: Key) {
-        if let Some(runner) = self.arena.get_mut(key.index())
-            && self.cold_services.binary_search(&runner.listed.service).is_ok()
+    /// Whether a request may be sent to a runner now, considering whether it is cold.
+    pub(super) fn may_warm_up(&self, now: Moment, runner: &Runner) -> bool {
+        if runner.is_warm(now) {
+            return true;
+        }
+        now.reached(runner.cold.next_send) && runner.listed.zone == self.zone && self.is_sender(runner.hash)
+    }
+
+    /// Whether this host is one of those that send requests to a cold runner of its zone.
+    fn is_sender(&self, runner: u64) -> bool {
+        let own = rendezvous_weight(runner, self.own_host);
+        let others = self.zone_hosts.iter().filter(|host| **host != self.own_host);
+        let before = others.filter(|host| rendezvous_weight(runner, **host) > own);
+        !self.zone_hosts.is_empty() && before.count() < SENDERS as usize
+    }
+
+    /// Delays this host's next request to a runner, if it is cold.
+    pub(super) fn delay_next_send(&mut self, now: Moment, key: Key) {
+        let Some(runner) = self.get(key).filter(|runner| !runner.is_warm(now)) else {
+            return;
+        };
+        let interval = self.cold_service(&runner.listed.service);
+        let interval = interval.map_or(Duration::ZERO, |service| service.send_interval);
+        if let Some(runner) = self.get_mut(key) {
+            runner.cold.next_send = now + interval;
+        }
+    }
+
+    /// Treats a runner as cold until its state is known.
+    pub fn doubt(&mut self, now: Moment, key: Key) {
+        let Some(runner) = self.get(key) else {
+            return;
+        };
+        if self.cold_service(&runner.listed.service).is_some()
+            && let Some(runner) = self.get_mut(key)
         {
-            runner.assume_cold(now);
+            runner.cold.doubted_at = Some(now);
         }
     }
 
+    /// Doubts a runner that this host could not reach. The other hosts are told, if the runner is
+    /// in this zone: a runner in another zone may only be behind a network cut.
+    pub(super) fn doubt_unreachable(&mut self, now: Moment, key: Key) {
+        self.doubt(now, key);
+        let is_near = self
+            .get(key)
+            .is_some_and(|runner| runner.listed.zone == self.zone);
+        if let Some(runner) = self.get_mut(key).filter(|_| is_near) {
+            runner.cold.is_unreported = runner.cold.doubted_at.is_some();
+        }
+    }
+
+    /// Ends the doubt about a runner that has answered. It may have started just before.
+    pub(super) fn confirm(&mut self, now: Moment, key: Key) {
+        let Some(runner) = self.get(key).filter(|runner| runner.cold.doubted_at.is_some()) else {
+            return;
+        };
+        let service = self.cold_service(&runner.listed.service);
+        let warm_at = service.map_or(now, |service| now + service.duration);
+        if let Some(runner) = self.get_mut(key) {
+            runner.cold.doubted_at = None;
+            runner.cold.warm_at = runner.cold.warm_at.max(warm_at);
+        }
+    }
+
+    /// Hashes of the runners that this host could not reach and has not told the others about; they
+    /// count as told from now on.
+    pub fn take_unreachable(&mut self) -> Vec<u64> {
+        let unreported = self.arena.iter_mut().filter(|runner| runner.cold.is_unreported);
+        let hashes = unreported.map(|runner| {
+            runner.cold.is_unreported = false;
+            runner.hash
+        });
+        hashes.collect()
+    }
+
     /// Replaces the list of evacuated zones. Their runners get no new requests, and provide no
     /// cached prefixes.
     ///
@@ -60,14 +210,15 @@
             return;
         }
         self.evacuated_zones = zones;
-        for runner in &mut self.arena {
+        let mut returned = Vec::new();
+        for (at, runner) in self.arena.iter_mut().enumerate() {
             let evacuated = self.evacuated_zones.binary_search(&runner.listed.zone).is_ok();
-            let has_cold_start = self.cold_services.binary_search(&runner.listed.service).is_ok();
-            if runner.evacuated && !evacuated && has_cold_start {
-                runner.assume_cold(now);
+            if runner.evacuated && !evacuated {
+                returned.push(Key(at as u32));
             }
             runner.evacuated = evacuated;
         }
+        returned.into_iter().for_each(|key| self.doubt(now, key));
     }
 
     /// Whether the operator has evacuated a zone.
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::super::latency::ms;
+use super::cold;
 use crate::time::Moment;
 
 /// Weight of the newest answer in the failure rate. A host sees an answer of a runner every two
@@ -181,8 +182,8 @@
         pub(super) last_contact: Moment,
         /// When the path to it was last found to be down.
         pub(super) path_lost_at: Option<Moment>,
-        /// When it is warm, as far as is known.
-        pub(super) warm_at: Moment,
+        /// Its cold start.
+        pub(super) cold: cold::State,
         /// Whether the operator has evacuated its zone.
         pub(super) evacuated: bool,
     }
@@ -191,7 +192,7 @@
 impl Runner {
     /// Whether it can be sent new requests.
     pub fn is_available(&self, now: Moment) -> bool {
-        self.is_listed(now) && now.reached(self.retry_at) && self.is_warm(now)
+        self.is_listed(now) && now.reached(self.retry_at)
     }
 
     /// Whether it accepts new requests according to the list, and its zone is not evacuated.
@@ -199,11 +200,6 @@
         self.is_present(now) && !self.replaced && !self.evacuated && self.listed.stage == Stage::Ready
     }
 
-    /// Whether it can take requests at any rate. A cold runner crashes when it gets too many.
-    pub fn is_warm(&self, now: Moment) -> bool {
-        now.reached(self.warm_at)
-    }
-
     /// Whether it is listed as shutting down.
     pub fn is_leaving(&self, now: Moment) -> bool {
         self.is_present(now) && self.listed.stage == Stage::Draining
--- a/crates/core/src/proxy/gossip/update.rs
+++ b/crates/core/src/proxy/gossip/update.rs
@@ -32,6 +32,9 @@
     /// Current load on each runner whose load has changed.
     #[prost(message, repeated, tag = "4")]
     pub loads: Vec<Load>,
+    /// Hashes of the runners that the sender has just failed to reach.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub unreachable: Vec<u64>,
 }
 
 impl Update {
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -106,6 +106,7 @@
                 state.hosts,
             )
         };
+        self.update_zone_hosts();
         packet.link_mbps = self.shared.own_host().link_mbps;
         packet.record = self.due_record(gossip::has_record(self.sequence));
         self.reset_for_new_peers();
@@ -143,7 +144,9 @@
         };
         self.updates += 1;
         let is_near = |peer: &SocketAddr| remote.binary_search(peer).is_err();
-        send(&self.shared, &self.socket, &update.to_datagram(), is_near).await;
+        // Hosts of all zones may send to a runner that could not be reached.
+        let to = |peer: &SocketAddr| !update.unreachable.is_empty() || is_near(peer);
+        send(&self.shared, &self.socket, &update.to_datagram(), to).await;
         let near = self
             .shared
             .peers
@@ -154,6 +157,15 @@
         self.next_update_at = Instant::now() + update::interval(near as u32);
     }
 
+    /// Updates which hosts share the cold runners of this zone.
+    fn update_zone_hosts(&self) {
+        let own = self.shared.own_host();
+        let hosts = self.shared.hosts().into_iter();
+        let of_zone = hosts.filter(|host| host.zone == own.zone).map(host_hash);
+        let of_zone = of_zone.collect();
+        self.shared.state().fleet.set_zone_hosts(host_hash(own), of_zone);
+    }
+
     /// If the peers have changed, lets the next packets be sent even without loads, so that
     /// new peers receive this host's zone and link.
     fn reset_for_new_peers(&mut self) {
@@ -175,6 +187,10 @@
     }
 }
 
+fn host_hash(host: Host) -> u64 {
+    digest(host.address.to_string().as_bytes())
+}
+
 /// Whether a packet has loads, a usage record or cached prefixes.
 fn is_informative(packet: &Packet) -> bool {
     !packet.loads.is_empty() || !packet.record.is_empty() || !packet.prefixes.is_empty()
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -65,6 +65,9 @@
     pub fn record_attempt(&self, result: AttemptResult) {
         let now = self.shared.now();
         self.shared.state().fleet.record_attempt(now, self.key, result);
+        if matches!(result, AttemptResult::Unreachable | AttemptResult::PathLost) {
+            self.shared.load_changed.notify_one();
+        }
     }
 }
 
--- a/tests/suite/proxy/overload.rs
+++ b/tests/suite/proxy/overload.rs
@@ -242,6 +242,7 @@
         report,
         number,
         loads: vec![load],
+        unreachable: Vec::new(),
     }
 }
 
