Try another runner when a different one answers at the address

Other runners answered 421 at their addresses, and the route allows two attempts. Requests that may be sent once were refused after one such answer.

Change: such an answer is no attempt, as the chosen runner has not received the request. It takes retry budget, because the other runner has received it, and counts as an unreachable runner, of which a request may meet three.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -15,6 +15,8 @@
         Unreachable,
         /// The runner states that it has not run the request.
         NotRun,
+        /// Another runner answered at the address, and has not run the request.
+        OtherRunner,
         /// The request may have run.
         MayHaveRun,
     }
@@ -112,6 +114,15 @@
                 return (self.unreachable >= rule.max_unreachable).then_some(Denial::Unreachable);
             }
             Fault::NotRun => {}
+            Fault::OtherRunner => {
+                // The chosen runner has not received the request, so this is no attempt. It still
+                // takes budget, as the other runner has received it.
+                self.sends = self.sends.saturating_sub(1);
+                self.unreachable += 1;
+                if self.unreachable >= rule.max_unreachable {
+                    return Some(Denial::Unreachable);
+                }
+            }
             Fault::MayHaveRun => self.may_have_run = true,
         }
         if self.may_have_run && rule.at_most_once {
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -125,7 +125,7 @@
             ran = log.history.may_have_run()
         );
         Some(match fault {
-            Fault::Unreachable => self.refusal(job, log, Kind::NoRunner),
+            Fault::Unreachable | Fault::OtherRunner => self.refusal(job, log, Kind::NoRunner),
             Fault::NotRun => self.refusal(job, log, Kind::Overloaded),
             Fault::MayHaveRun => self.upstream_refusal(job),
         })
@@ -307,9 +307,9 @@
         let (parts, body) = response.into_parts();
         let provenance = self.shared.adapter.parse_response(&parts);
         if provenance.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
-            let attempt = match parts.status {
-                StatusCode::MISDIRECTED_REQUEST => AttemptResult::Replaced,
-                _ => AttemptResult::Full,
+            let (attempt, fault) = match parts.status {
+                StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
+                _ => (AttemptResult::Full, Fault::NotRun),
             };
             slot.record_attempt(attempt);
             tracing::info!(
@@ -322,7 +322,7 @@
             if matches!(drained, Ok(Ok(_))) {
                 self.return_connection(&slot, connection);
             }
-            return Err(AttemptError::Failed(Fault::NotRun));
+            return Err(AttemptError::Failed(fault));
         }
         if !is_response_to(job, &parts, &provenance) {
             slot.record_attempt(AttemptResult::Broken);
--- a/tests/suite/repeat.rs
+++ b/tests/suite/repeat.rs
@@ -41,6 +41,29 @@
     assert!(!history.may_have_run());
 }
 
+/// Guards against refusing a request that may be sent once, because its runner has been replaced.
+/// Each answer of another runner takes budget, and their number is limited.
+#[test]
+fn another_runner_at_the_address_is_no_attempt() {
+    let once = Rule {
+        max_attempts: 1,
+        ..POSTING
+    };
+    let mut history = History::<u32>::default();
+    let mut taken = 0;
+    let mut denials = Vec::new();
+    for _ in 0..4 {
+        history.record_send();
+        denials.push(history.record_failure(&once, Fault::OtherRunner, false, || {
+            taken += 1;
+            true
+        }));
+    }
+    assert_eq!(denials, [None, None, None, Some(Denial::Unreachable)]);
+    assert_eq!(taken, 3);
+    assert!(!history.may_have_run());
+}
+
 /// An unreachable runner costs neither retry budget nor an attempt, and after four of them the
 /// request is refused. Otherwise a zone that is cut off would exhaust the shared budget with
 /// requests that were never sent.
@@ -97,9 +120,10 @@
                 return TestResult::failed();
             }
             history.record_choice(at);
-            let fault = match fault % 3 {
+            let fault = match fault % 4 {
                 0 => Fault::Unreachable,
                 1 => Fault::NotRun,
+                2 => Fault::OtherRunner,
                 _ => Fault::MayHaveRun,
             };
             if fault != Fault::Unreachable {
