--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -199,15 +199,15 @@
         hashes.collect()
     }
 
-    /// Replaces the list of evacuated zones. Their runners get no new requests, and provide no
-    /// cached prefixes.
+    /// Replaces the list of evacuated zones; returns whether it has changed. Their runners get no
+    /// new requests, and provide no cached prefixes.
     ///
     /// When an evacuation ends, all runners of the zone are idle, and may have become cold since
     /// their entries were written.
-    pub fn set_evacuated(&mut self, now: Moment, mut zones: Vec<String>) {
+    pub fn set_evacuated(&mut self, now: Moment, mut zones: Vec<String>) -> bool {
         zones.sort_unstable();
         if zones == self.evacuated_zones {
-            return;
+            return false;
         }
         self.evacuated_zones = zones;
         let mut returned = Vec::new();
@@ -219,6 +219,12 @@
             runner.evacuated = evacuated;
         }
         returned.into_iter().for_each(|key| self.doubt(now, key));
+        true
+    }
+
+    /// Zones that the operator has evacuated, sorted.
+    pub fn evacuated_zones(&self) -> &[String] {
+        &self.evacuated_zones
     }
 
     /// Whether the operator has evacuated a zone.
--- a/crates/entry/src/proxy/sync.rs
+++ b/crates/entry/src/proxy/sync.rs
@@ -245,7 +245,11 @@
         let zones = entries.iter().filter_map(|entry| entry.key.strip_prefix(prefix));
         let zones = zones.map(str::to_string).collect();
         let now = self.shared.now();
-        self.shared.state().fleet.set_evacuated(now, zones);
+        let mut state = self.shared.state();
+        if state.fleet.set_evacuated(now, zones) {
+            let zones = state.fleet.evacuated_zones().join(",");
+            tracing::info!(event = "evacuated-zones-changed", zones);
+        }
     }
 
     /// Reads all keys except the document from the store; returns whether all pages arrived.
--- a/tests/suite/proxy/cold.rs
+++ b/tests/suite/proxy/cold.rs
@@ -1,15 +1,17 @@
 //! Tests of runners that are cold, and of evacuated zones.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use radishstair_core::id::digest;
 use radishstair_core::proxy::fleet::{AttemptResult, Fleet, Listed};
 use radishstair_core::proxy::route::ColdStart;
+use radishstair_core::proxy::scaling::Planner;
 use radishstair_core::time::Moment;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::fixtures::runner;
+use super::fixtures::{priced, runner};
 
 /// Requests that a cold runner of the tests may get in one second: one and a half times its rate,
 /// and five.
@@ -256,3 +258,29 @@
     assert_eq!(available(&fleet, 11_700), ["b"]);
     assert_eq!(available(&fleet, 14_000), ["a", "b"]);
 }
+
+/// Guards against ordering runners for a zone that gets no requests, and against too few in the
+/// zones that have to carry its traffic.
+#[test]
+fn orders_leave_an_evacuated_zone_out() {
+    let zones = [("zone-a", 1.0), ("zone-b", 1.0), ("zone-c", 1.0)];
+    let table = priced("engines", 20, 0.2, &zones);
+    let reclaimable_in = |fleet: &Fleet| {
+        let mut planner = Planner::default();
+        let mut counts = BTreeMap::new();
+        while let Some(order) = planner.tick(at(0), &table, fleet, |_| 3_000_000) {
+            planner.record_result(at(0), &order, true);
+            if order.reclaimable {
+                counts.insert(order.zone, order.count);
+            }
+        }
+        counts
+    };
+    let usual = reclaimable_in(&Fleet::new("zone-a"));
+    let mut evacuated = Fleet::new("zone-a");
+    evacuated.set_evacuated(at(0), vec!["zone-b".into()]);
+    let now = reclaimable_in(&evacuated);
+    assert_eq!(now.keys().collect::<Vec<_>>(), ["zone-a", "zone-c"]);
+    assert!(now["zone-a"] > usual["zone-a"], "{now:?} for {usual:?}");
+    assert!(now.values().sum::<u32>() >= usual.values().sum());
+}
