Doubt a runner on the reports of two hosts, not of one

Cause, found by reading: a host that has lost its path to its zone's runners, but not to its peers, reports them as unreachable with each attempt. All other hosts then treated these warm runners as cold, so that one broken path would have limited a whole zone to its senders.

Change: a host that has no failure of its own doubts a runner when two hosts report it within 2 s. After a real restart many hosts fail to connect at once. The enum `Placement` moves to its module, without a change.

Before: `reports_of_a_single_host_change_nothing` could not pass, as one report was enough. After: it passes, and `a_runner_that_another_host_could_not_reach_is_doubted` with two.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -38,6 +38,7 @@
 pub mod usage;
 
 pub use bounds::Bounds;
+pub use placement::Placement;
 
 use budget::Budgets;
 use fleet::{Fleet, Key, Listed};
@@ -103,22 +104,6 @@
     }
 }
 
-plain! {
-    /// Result of choosing a runner for a request.
-    #[derive(Copy)]
-    pub enum Placement {
-        /// The request counts on this runner.
-        Placed(Choice),
-        /// There are runners, but the request would be late on the best one.
-        Overloaded {
-            /// Number of runners to choose from.
-            candidates: u32,
-        },
-        /// No runner is left.
-        NoRunner,
-    }
-}
-
 /// Routing state of one host.
 #[derive(Debug)]
 pub struct State {
@@ -474,7 +459,8 @@
     pub fn receive_update(&mut self, now: Moment, update: Update) {
         for runner in &update.unreachable {
             if let Some(key) = self.fleet.find_by_hash(*runner) {
-                self.fleet.doubt(now, key);
+                self.fleet
+                    .record_report(now, key, Incarnation(update.incarnation));
             }
         }
         self.peers.update(now, update, &mut self.fleet);
--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -10,14 +10,16 @@
 //! other hosts wait until the runner is warm.
 //!
 //! The list lags behind a restart, so the state of a runner is doubted when a restart is likely:
-//! when it cannot be reached, when another host says so, and when the evacuation of its zone
-//! ends. A doubted runner is treated as cold until a later list must show its state, or until it
-//! has answered and the time of a cold start has passed.
+//! when this host cannot reach it, when two other hosts cannot, and when the evacuation of its
+//! zone ends. A single report is not enough, as its sender may have lost the path to the runner,
+//! and its reports would keep all other hosts from a warm runner. A doubted runner is treated as
+//! cold until a later list must show its state, or until it has answered and the time of a cold
+//! start has passed.
 
 use std::time::Duration;
 
 use super::{Fleet, Key, Runner};
-use crate::id::rendezvous_weight;
+use crate::id::{Incarnation, rendezvous_weight};
 use crate::proxy::route::ColdStart;
 use crate::time::Moment;
 
@@ -29,6 +31,8 @@
 /// Time after which a runner is no longer doubted, if neither the list nor an answer has shown its
 /// state.
 const MAX_DOUBT: Duration = Duration::from_secs(10);
+/// Time within which reports of two hosts confirm each other.
+const REPORT_WINDOW: Duration = Duration::from_secs(2);
 /// Number of hosts that send requests to one cold runner.
 const SENDERS: u32 = 2;
 /// Share of the rate that a cold runner can take which its senders use together.
@@ -42,6 +46,8 @@
         warm_at: Moment,
         /// When its state was last doubted; `None` if it is known.
         doubted_at: Option<Moment>,
+        /// Host that last reported that it cannot be reached, and when.
+        last_report: Option<(Incarnation, Moment)>,
         /// Whether the other hosts have yet to be told that it cannot be reached.
         is_unreported: bool,
         /// Earliest time of this host's next request to it while it is cold.
@@ -163,6 +169,19 @@
         }
     }
 
+    /// Records that another host could not reach a runner, and doubts the runner if a second host
+    /// has reported the same.
+    pub fn record_report(&mut self, now: Moment, key: Key, reporter: Incarnation) {
+        let Some(runner) = self.get_mut(key) else {
+            return;
+        };
+        let previous = runner.cold.last_report.replace((reporter, now));
+        let confirms = |(host, at): (Incarnation, Moment)| host != reporter && now.since(at) < REPORT_WINDOW;
+        if previous.is_some_and(confirms) {
+            self.doubt(now, key);
+        }
+    }
+
     /// Doubts a runner that this host could not reach. The other hosts are told, if the runner is
     /// in this zone: a runner in another zone may only be behind a network cut.
     pub(super) fn doubt_unreachable(&mut self, now: Moment, key: Key) {
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -157,6 +157,22 @@
     }
 }
 
+plain! {
+    /// Result of choosing a runner for a request.
+    #[derive(Copy)]
+    pub enum Placement {
+        /// The request counts on this runner.
+        Placed(Choice),
+        /// There are runners, but the request would be late on the best one.
+        Overloaded {
+            /// Number of runners to choose from.
+            candidates: u32,
+        },
+        /// No runner is left.
+        NoRunner,
+    }
+}
+
 /// State that the choice is based on.
 #[derive(Clone, Copy, Debug)]
 pub struct Inputs<'a> {
--- a/tests/suite/proxy/cold.rs
+++ b/tests/suite/proxy/cold.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use radishstair_core::id::digest;
+use radishstair_core::id::{Incarnation, digest};
 use radishstair_core::proxy::fleet::{AttemptResult, Fleet, Listed};
 use radishstair_core::proxy::route::ColdStart;
 use radishstair_core::proxy::scaling::Planner;
@@ -161,9 +161,23 @@
     let mut other = cold_fleet();
     other.update(at(0), vec![cold("a", 1, 0)]);
     let other_key = other.find_by_hash(told[0]).expect("it is the same runner");
-    other.doubt(at(110), other_key);
+    other.record_report(at(110), other_key, Incarnation(1));
+    other.record_report(at(200), other_key, Incarnation(2));
     assert_eq!(available(&other, 2_000), [""; 0]);
-    assert_eq!(available(&other, 10_200), ["a"]);
+    assert_eq!(available(&other, 10_300), ["a"]);
+}
+
+/// Guards against a host that has lost its path to the runners keeping all other hosts from them.
+#[test]
+fn reports_of_a_single_host_change_nothing() {
+    let mut fleet = cold_fleet();
+    fleet.update(at(0), vec![cold("a", 1, 0)]);
+    let key = fleet.find("a").expect("it is listed");
+    for ms in [100, 500, 900, 1_300] {
+        fleet.record_report(at(ms), key, Incarnation(1));
+    }
+    fleet.record_report(at(4_000), key, Incarnation(2));
+    assert_eq!(available(&fleet, 4_001), ["a"], "the reports are seconds apart");
 }
 
 /// Guards against taking a network cut for the restart of all runners behind it.
