Send nothing to a cold runner whose rate is unknown

The document in it declares no cold start for the service, so the gap between requests was zero, and the only host of the zone is a sender: once the host had read its own record it sent a cold runner whatever came. On an idle machine the test mostly ended before.

Change: without a declared rate a cold runner gets nothing. The test stays as it is; one in the decision library shows the same without a race and fails without the change.

--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -129,12 +129,16 @@
         self.zone_hosts = hosts;
     }
 
-    /// Whether a request may be sent to a runner now, considering whether it is cold.
+    /// Whether a request may be sent to a runner now, considering whether it is cold. A cold runner
+    /// gets none if the rate that it can take is unknown.
     pub(super) fn may_warm_up(&self, now: Moment, runner: &Runner) -> bool {
         if runner.is_warm(now) {
             return true;
         }
-        now.reached(runner.cold.next_send) && runner.listed.zone == self.zone && self.is_sender(runner.hash)
+        self.cold_service(&runner.listed.service).is_some()
+            && now.reached(runner.cold.next_send)
+            && runner.listed.zone == self.zone
+            && self.is_sender(runner.hash)
     }
 
     /// Whether this host is one of those that send requests to a cold runner of its zone.
--- a/tests/suite/proxy/cold.rs
+++ b/tests/suite/proxy/cold.rs
@@ -229,6 +229,16 @@
     }
 }
 
+/// Guards against sending at any rate to a cold runner whose service declares no cold start, in a
+/// zone with a single host.
+#[test]
+fn a_cold_runner_of_unknown_rate_gets_nothing() {
+    let mut fleet = host_with_cold_runner(1, &[1]);
+    assert_eq!(available(&fleet, 100), ["a"]);
+    fleet.set_cold_starts(std::iter::empty());
+    assert_eq!(available(&fleet, 100), [""; 0]);
+}
+
 /// Guards against hosts of other zones, which learn of a cold start seconds late, sending to a cold
 /// runner.
 #[test]
