Let other zones wait for the load of a runner that has become warm

Hosts of other zones know its load only from reports that are seconds old, so they all took it for idle at the same moment. The former herd at cold runners was moved to their first warm second.

Change: hosts of other zones use a runner that was cold or doubted 3 s after it is warm, when its own zone's load has been reported to them. Runners that were never cold, and so all deployments without cold starts, are not affected.

--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -15,6 +15,11 @@
 //! and its reports would keep all other hosts from a warm runner. A doubted runner is treated as
 //! cold until a later list must show its state, or until it has answered and the time of a cold
 //! start has passed.
+//!
+//! A runner that has just become warm is still empty. The hosts of its zone learn of each other's
+//! requests at once, those of other zones only with the next reports between zones. When all hosts
+//! used it from the same moment, dozens of requests came at once and queued for seconds. Hosts of
+//! other zones therefore wait until the load of its own zone has been reported.
 
 use std::time::Duration;
 
@@ -31,6 +36,9 @@
 /// Time after which a runner is no longer doubted, if neither the list nor an answer has shown its
 /// state.
 const MAX_DOUBT: Duration = Duration::from_secs(10);
+/// Time after which hosts of other zones use a runner that has become warm: the time between two
+/// reports to other zones in a large fleet.
+const REMOTE_DELAY: Duration = Duration::from_secs(3);
 /// Time within which reports of two hosts confirm each other.
 const REPORT_WINDOW: Duration = Duration::from_secs(2);
 /// Number of hosts that send requests to one cold runner.
@@ -42,8 +50,8 @@
     /// What a host knows about a runner's cold start.
     #[derive(Copy, Default)]
     pub struct State {
-        /// When it is warm, according to its entry or its answers.
-        warm_at: Moment,
+        /// When it is warm, according to its entry or its answers; `None` if it was never cold.
+        warm_at: Option<Moment>,
         /// When its state was last doubted; `None` if it is known.
         doubted_at: Option<Moment>,
         /// Host that last reported that it cannot be reached, and when.
@@ -66,21 +74,33 @@
     /// Applies a new version of the runner's entry.
     pub(super) fn read_entry(&mut self, sent: Moment, cold_for: Duration) {
         self.warm_at = match cold_for.is_zero() {
-            true => Moment::default(),
-            false => sent + cold_for + READ_DELAY,
+            true => self.warm_at.map(|warm_at| warm_at.min(sent)),
+            false => Some(sent + cold_for + READ_DELAY),
         };
     }
 
     /// Ends the doubt if a list that was read at `sent` must show the runner's state.
     pub(super) fn read_list(&mut self, sent: Moment) {
-        self.doubted_at = self
-            .doubted_at
-            .filter(|doubted_at| sent.since(*doubted_at) < ENTRY_DELAY);
+        let is_over = |doubted_at: Moment| sent.since(doubted_at) >= ENTRY_DELAY;
+        if self.doubted_at.is_some_and(is_over) {
+            self.end_doubt(sent);
+        }
+    }
+
+    fn end_doubt(&mut self, warm_at: Moment) {
+        self.doubted_at = None;
+        self.warm_at = Some(self.warm_at.map_or(warm_at, |known| known.max(warm_at)));
     }
 
     fn is_warm(&self, now: Moment) -> bool {
         let is_doubted = |doubted_at: Moment| now.since(doubted_at) < MAX_DOUBT;
-        now.reached(self.warm_at) && !self.doubted_at.is_some_and(is_doubted)
+        self.warm_at.is_none_or(|warm_at| now.reached(warm_at)) && !self.doubted_at.is_some_and(is_doubted)
+    }
+
+    /// Whether it has been warm for long enough for other zones to know its load.
+    fn is_settled(&self, now: Moment) -> bool {
+        self.warm_at
+            .is_none_or(|warm_at| now.reached(warm_at + REMOTE_DELAY))
     }
 }
 
@@ -132,12 +152,13 @@
     /// Whether a request may be sent to a runner now, considering whether it is cold. A cold runner
     /// gets none if the rate that it can take is unknown.
     pub(super) fn may_warm_up(&self, now: Moment, runner: &Runner) -> bool {
+        let is_near = runner.listed.zone == self.zone;
         if runner.is_warm(now) {
-            return true;
+            return is_near || runner.cold.is_settled(now);
         }
-        self.cold_service(&runner.listed.service).is_some()
+        is_near
+            && self.cold_service(&runner.listed.service).is_some()
             && now.reached(runner.cold.next_send)
-            && runner.listed.zone == self.zone
             && self.is_sender(runner.hash)
     }
 
@@ -206,8 +227,7 @@
         let service = self.cold_service(&runner.listed.service);
         let warm_at = service.map_or(now, |service| now + service.duration);
         if let Some(runner) = self.get_mut(key) {
-            runner.cold.doubted_at = None;
-            runner.cold.warm_at = runner.cold.warm_at.max(warm_at);
+            runner.cold.end_doubt(warm_at);
         }
     }
 
--- a/tests/suite/proxy/cold.rs
+++ b/tests/suite/proxy/cold.rs
@@ -248,6 +248,27 @@
     assert_eq!(available(&fleet, 100), [""; 0]);
 }
 
+/// Guards against the hosts of all zones using an empty runner from the moment at which it becomes
+/// warm: dozens of requests queued there, and the less urgent ones waited until their deadline.
+#[test]
+fn other_zones_wait_for_the_load_of_a_runner_that_became_warm() {
+    let mut fleet = cold_fleet();
+    fleet.zone = "zone-b".into();
+    fleet.update(at(0), vec![cold("a", 1, 3_000)]);
+    fleet.update(at(2_000), vec![cold("a", 2, 0)]);
+    assert_eq!(available(&fleet, 4_900), [""; 0]);
+    assert_eq!(available(&fleet, 5_100), ["a"]);
+}
+
+/// Guards against a host that has just started and finds warm runners of other zones only.
+#[test]
+fn a_runner_that_was_never_cold_is_used_at_once() {
+    let mut fleet = cold_fleet();
+    fleet.zone = "zone-b".into();
+    fleet.update(Moment::at_ms(1), vec![cold("a", 1, 0)]);
+    assert_eq!(fleet.available(Moment::at_ms(2), "engines").count(), 1);
+}
+
 /// Guards against requests to an evacuated zone, also by retries, prefix copies and runners that
 /// register there meanwhile.
 #[test]
