Report an unreachable runner once, and without the loads to other zones

The one new message is the report of unreachable runners: each failure was reported, to all hosts, together with all changed loads of the sender. When a zone of 3,000 runners or all hosts are lost, that is hundreds of runners from each of 75 hosts to 300.

Change: a host reports a runner when it begins to doubt it, not at each failure; a runner that two hosts have reported is doubted by all and not reported again. Hosts of other zones get the hashes only.

Test: `a_doubted_runner_is_not_reported_again`.

--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -209,12 +209,14 @@
 
     /// Doubts a runner that this host could not reach. The other hosts are told, if the runner is
     /// in this zone: a runner in another zone may only be behind a network cut.
+    ///
+    /// A runner that is doubted already is not reported. When a zone lost hundreds of runners,
+    /// reports of each failure to hundreds of hosts took most of the bandwidth between zones.
     pub(super) fn doubt_unreachable(&mut self, now: Moment, key: Key) {
+        let is_news = |runner: &Runner| runner.listed.zone == self.zone && runner.cold.doubted_at.is_none();
+        let is_news = self.get(key).is_some_and(is_news);
         self.doubt(now, key);
-        let is_near = self
-            .get(key)
-            .is_some_and(|runner| runner.listed.zone == self.zone);
-        if let Some(runner) = self.get_mut(key).filter(|_| is_near) {
+        if let Some(runner) = self.get_mut(key).filter(|_| is_news) {
             runner.cold.is_unreported = runner.cold.doubted_at.is_some();
         }
     }
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -144,9 +144,17 @@
         };
         self.updates += 1;
         let is_near = |peer: &SocketAddr| remote.binary_search(peer).is_err();
-        // Hosts of all zones may send to a runner that could not be reached.
-        let to = |peer: &SocketAddr| !update.unreachable.is_empty() || is_near(peer);
-        send(&self.shared, &self.socket, &update.to_datagram(), to).await;
+        send(&self.shared, &self.socket, &update.to_datagram(), is_near).await;
+        if !update.unreachable.is_empty() {
+            // Hosts of all zones may send to a runner that could not be reached. They do not need
+            // the loads.
+            let report = Update {
+                loads: Vec::new(),
+                ..update
+            };
+            let is_remote = |peer: &SocketAddr| !is_near(peer);
+            send(&self.shared, &self.socket, &report.to_datagram(), is_remote).await;
+        }
         let near = self
             .shared
             .peers
--- a/tests/suite/proxy/cold.rs
+++ b/tests/suite/proxy/cold.rs
@@ -167,6 +167,26 @@
     assert_eq!(available(&other, 10_300), ["a"]);
 }
 
+/// Guards against filling the links between zones with reports, when a zone loses its runners: each
+/// host reports a runner once, and not at all if two others have.
+#[test]
+fn a_doubted_runner_is_not_reported_again() {
+    let mut fleet = cold_fleet();
+    fleet.update(at(0), vec![cold("a", 1, 0), cold("b", 1, 0)]);
+    let key = |id: &str| fleet.find(id).expect("it is listed");
+    let (a, b) = (key("a"), key("b"));
+    let mut reported = 0;
+    for ms in [100, 600, 1_500] {
+        fleet.record_attempt(at(ms), a, AttemptResult::Unreachable);
+        reported += fleet.take_unreachable().len();
+    }
+    assert_eq!(reported, 1);
+    fleet.record_report(at(100), b, Incarnation(1));
+    fleet.record_report(at(110), b, Incarnation(2));
+    fleet.record_attempt(at(120), b, AttemptResult::Unreachable);
+    assert_eq!(fleet.take_unreachable(), [0; 0]);
+}
+
 /// Guards against a host that has lost its path to the runners keeping all other hosts from them.
 #[test]
 fn reports_of_a_single_host_change_nothing() {
