Tell the loss of a path to a service from the loss of its runners

From the log of one host a lost path and dead runners looked the same: many runner-unreachable lines, one for each attempt. The incident could only be read by comparing the logs of all hosts.

A host now notices when connections to different runners of a service fail and none comes about in between, logs it with the number of peers that reach the service, probes the path, and tells its peers. New metrics: connections to runners by outcome, lost services. Requests are forwarded as before, so the incident's cause is untouched.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -29,6 +29,7 @@
 pub mod partition;
 pub mod placement;
 pub mod prefix;
+pub mod reach;
 pub mod readers;
 pub mod refresh;
 pub mod regression;
@@ -52,6 +53,7 @@
 use partition::Partition;
 use placement::{Choice, Demand, Inputs, Selection};
 use prefix::Index;
+use reach::Reach;
 use route::{Route, Table};
 use services::Services;
 use usage::{Counter, Ledger};
@@ -119,6 +121,8 @@
     pub store_contact: Freshness,
     /// All runners.
     pub fleet: Fleet,
+    /// Services that this host and its peers reach.
+    pub reach: Reach,
     /// Runners that have each prompt prefix cached.
     pub prefixes: Index,
     /// Load that other hosts put on runners.
@@ -153,6 +157,7 @@
             is_behind: false,
             store_contact: Freshness::default(),
             fleet: Fleet::new(zone),
+            reach: Reach::default(),
             prefixes: Index::default(),
             peers: Peers::default(),
             latencies: Services::default(),
--- a/crates/core/src/proxy/exchange.rs
+++ b/crates/core/src/proxy/exchange.rs
@@ -27,7 +27,10 @@
     pub fn packet(&mut self, now: Moment, me: Incarnation, sequence: u64) -> Packet {
         // The packet includes all changes.
         self.fleet.take_changed().for_each(drop);
+        let reach = self.reach.report(now);
         Packet {
+            reached: reach.reached,
+            lost: reach.lost,
             prefixes: std::mem::take(&mut self.announcements),
             ..gossip::packet(me, sequence, &self.fleet, self.meter.rates(now))
         }
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -220,6 +220,12 @@
         keys.zip(&self.arena)
     }
 
+    /// Number of runners of a service that accept new requests according to the list.
+    pub fn count_listed(&self, now: Moment, service: &str) -> usize {
+        let of_service = |runner: &&Runner| runner.listed.service == service && runner.is_listed(now);
+        self.arena.iter().filter(of_service).count()
+    }
+
     /// Runners of a service that can be sent new requests.
     pub fn available<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
         let serves = move |runner: &Runner| {
--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -159,6 +159,12 @@
     /// Whether the packet contains nothing but the usage record.
     #[prost(bool, tag = "13")]
     pub record_only: bool,
+    /// Short hashes of the services that the sender reaches.
+    #[prost(fixed32, repeated, tag = "14")]
+    pub reached: Vec<u32>,
+    /// Short hashes of the services to which the sender has lost the path.
+    #[prost(fixed32, repeated, tag = "15")]
+    pub lost: Vec<u32>,
 }
 
 /// Time between packets for this number of hosts.
--- a/crates/core/src/proxy/services.rs
+++ b/crates/core/src/proxy/services.rs
@@ -27,6 +27,18 @@
         &mut self.rows[at].1
     }
 
+    /// All services and their values, sorted by service.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
+        self.rows.iter().map(|(service, value)| (service.as_str(), value))
+    }
+
+    /// All services and their values, mutable.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&str, &mut T)> {
+        self.rows
+            .iter_mut()
+            .map(|(service, value)| (service.as_str(), value))
+    }
+
     fn find(&self, service: &str) -> Result<usize, usize> {
         self.rows.binary_search_by(|(have, _)| have.as_str().cmp(service))
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,6 +48,13 @@
     pub direction: &'static str,
 }
 
+/// Label of new connections to runners.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConnectionLabel {
+    /// `ok`, `timeout` or `refused`.
+    pub outcome: &'static str,
+}
+
 /// Label of metrics by call to the platform or to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabel {
@@ -78,6 +85,10 @@
     pub forwarded_calls: Counter,
     /// Connections refused because of the limit.
     pub refused_connections: Counter,
+    /// New connections to runners.
+    pub runner_connections: Family<ConnectionLabel, Counter>,
+    /// Services to which this host has lost the path.
+    pub lost_services: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<PlatformCallLabels, Counter>,
     /// Bytes of the answers to calls to the platform and to peers.
@@ -116,6 +127,8 @@
             resumed_streams: Family::default(),
             forwarded_calls: Counter::default(),
             refused_connections: Counter::default(),
+            runner_connections: Family::default(),
+            lost_services: Gauge::default(),
             platform_calls: Family::default(),
             response_bytes: Family::default(),
             call_duration: Family::new_with_constructor(latency_histogram),
@@ -163,6 +176,16 @@
             "Connections refused because of the limit",
             self.refused_connections.clone(),
         );
+        registry.register(
+            "runner_connections",
+            "New connections to runners by outcome",
+            self.runner_connections.clone(),
+        );
+        registry.register(
+            "lost_services",
+            "Services to which the path is lost",
+            self.lost_services.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
@@ -268,6 +291,13 @@
         self.datagram_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
+    /// Counts a new connection to a runner.
+    pub fn count_connection(&self, outcome: &'static str) {
+        self.runner_connections
+            .get_or_create(&ConnectionLabel { outcome })
+            .inc();
+    }
+
     /// Counts a finished call to the platform.
     pub fn count_platform_call(&self, call: &'static str, outcome: &'static str) {
         self.platform_calls
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -47,6 +47,7 @@
 pub mod held;
 pub mod job;
 pub mod packing;
+pub mod paths;
 pub mod records;
 pub mod reply;
 pub mod run;
@@ -111,6 +112,8 @@
     started: Notify,
     /// Notified when this host's load on a runner has changed, to tell the hosts of its zone.
     load_changed: Notify,
+    /// Notified when a path to runners has to be checked.
+    path_suspected: Notify,
     /// Memory held for callers.
     memory: Arc<held::Quota>,
     /// Number of requests in flight.
@@ -159,6 +162,7 @@
             peer_announced: Notify::new(),
             started: Notify::new(),
             load_changed: Notify::new(),
+            path_suspected: Notify::new(),
             memory,
             active_requests: in_flight::Counter::default(),
             peers: ArcSwap::default(),
--- a/crates/entry/src/proxy/admin.rs
+++ b/crates/entry/src/proxy/admin.rs
@@ -65,6 +65,8 @@
         METRICS_PATH => {
             let trusted = shared.state().is_fresh(shared.now());
             shared.metrics.keys_trusted.set(i64::from(trusted));
+            let lost_services = shared.state().reach.lost_services();
+            shared.metrics.lost_services.set(lost_services as i64);
             shared.metrics.held_memory.set(shared.held_bytes() as i64);
             shared.metrics.requests_in_flight.set(shared.in_flight() as i64);
             shared.metrics.log_lines_dropped.set(log::dropped_lines() as i64);
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -7,9 +7,11 @@
 //! runner. The retries are in [`buffered`](super::buffered) for buffered requests and in
 //! [`stream`](super::stream) for streams.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -18,19 +20,20 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::proxy::Placement;
-use radishstair_core::proxy::fleet::{AttemptResult, Liveness};
+use radishstair_core::proxy::fleet::{AttemptResult, Key, Liveness};
 use radishstair_core::proxy::placement::{Choice, Demand};
+use radishstair_core::proxy::reach::Failure as Reason;
 use radishstair_core::retry::Fault;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
-use super::Shared;
 use super::adapter::{Forwarding, Provenance};
 use super::body::{self, ReadFailure};
 use super::held::{Held, HeldBody};
 use super::job::{AttemptLog, Job};
 use super::reply::retry_after;
 use super::slot::Slot;
+use super::{Shared, paths};
 use crate::upstream::attempts;
 use crate::upstream::connection::{self, Connection};
 use crate::upstream::pool::{self, Pool};
@@ -226,7 +229,7 @@
                 Liveness::Recent(remaining) => tokio::time::sleep(remaining).await,
                 Liveness::Silent if self.is_reachable(slot).await => {}
                 Liveness::Silent => {
-                    slot.record_attempt(AttemptResult::PathLost);
+                    slot.record_unreachable(AttemptResult::PathLost, Reason::Timeout);
                     self.pool.remove(slot.address);
                     break;
                 }
@@ -239,7 +242,8 @@
     /// Whether the runner accepts or refuses a new connection; either shows that the path works.
     async fn is_reachable(&self, slot: &Slot) -> bool {
         for _ in 0..MAX_UNANSWERED_CONNECTS {
-            match Connection::connect(slot.address, pool::CONNECT_TIMEOUT).await {
+            let connected = self.open(slot.key, slot.address, pool::CONNECT_TIMEOUT).await;
+            match connected {
                 Ok(connection) => {
                     self.pool
                         .release(self.shared.now(), slot.address, connection, None);
@@ -256,17 +260,30 @@
     async fn connect(&self, job: &Job, slot: &Slot) -> Result<Connection, AttemptError> {
         let now = self.shared.now();
         let limit = job.time_left(now).unwrap_or(pool::CONNECT_TIMEOUT);
+        let once = job.is_at_most_once();
+        if let Some(connection) = self.pool.take_idle(now, slot.address, once).await {
+            return Ok(connection);
+        }
         let connected = self
-            .pool
-            .acquire(now, slot.address, job.is_at_most_once(), limit)
+            .open(slot.key, slot.address, limit.min(pool::CONNECT_TIMEOUT))
             .await;
         connected.map_err(|err| {
             tracing::info!(event = "runner-unreachable", request = job.metadata.id, runner = slot.id, reason = %format!("{err:#}"));
-            slot.record_attempt(AttemptResult::Unreachable);
+            slot.record_unreachable(AttemptResult::Unreachable, paths::failure(&err));
             AttemptError::Failed(Fault::Unreachable)
         })
     }
 
+    /// Opens a connection to a runner.
+    pub(super) async fn open(&self, key: Key, address: SocketAddr, limit: Duration) -> Result<Connection> {
+        let connected = Connection::connect(address, limit).await;
+        self.shared.metrics.count_connection(paths::outcome(&connected));
+        if connected.is_ok() {
+            paths::on_connection(&self.shared, key);
+        }
+        connected
+    }
+
     /// Checks that the request may still be sent to this runner.
     fn check_before_send(
         &self,
@@ -302,7 +319,7 @@
         exchange: Exchange,
     ) -> Result<RunnerResponse, AttemptError> {
         let now = self.shared.now();
-        self.shared.state().fleet.record_contact(now, slot.key);
+        slot.record_response(now);
         let (response, connection) = exchange.split();
         let (parts, body) = response.into_parts();
         let provenance = self.shared.adapter.parse_response(&parts);
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -11,6 +11,7 @@
 use radishstair_core::id::digest;
 use radishstair_core::proxy::gossip::update::{self, Update};
 use radishstair_core::proxy::gossip::{self, CachedPrefix, Packet, summary};
+use radishstair_core::proxy::reach::Report;
 use radishstair_core::proxy::readers::{self, Host};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -262,9 +263,10 @@
     digest(host.address.to_string().as_bytes())
 }
 
-/// Whether a packet has loads, a usage record or cached prefixes.
+/// Whether a packet has loads, a usage record, cached prefixes or lost services.
 fn is_informative(packet: &Packet) -> bool {
-    !packet.loads.is_empty() || !packet.record.is_empty() || !packet.prefixes.is_empty()
+    let has_load = !packet.loads.is_empty() || !packet.prefixes.is_empty();
+    has_load || !packet.record.is_empty() || !packet.lost.is_empty()
 }
 
 /// Packet that announces changes read from the store.
@@ -381,6 +383,11 @@
             let now = shared.now();
             let is_summary = packet.summary;
             if !is_summary && !packet.record_only {
+                let report = Report {
+                    reached: packet.reached.clone(),
+                    lost: packet.lost.clone(),
+                };
+                shared.state().reach.record_report(now, peer, report);
                 shared.record_location(Host {
                     address: peer,
                     zone: digest(packet.zone.as_bytes()),
--- a/crates/entry/src/proxy/run.rs
+++ b/crates/entry/src/proxy/run.rs
@@ -21,7 +21,7 @@
 use super::settings::Settings;
 use crate::upstream::pool::Pool;
 
-use super::{Shared, accept, admin, collector, document, gossip, sync};
+use super::{Shared, accept, admin, collector, document, gossip, paths, sync};
 
 /// Time for which a stopping host still accepts connections. The load balancer checks
 /// readiness once a second and stops sending callers after two failures, with some delay.
@@ -57,6 +57,7 @@
         .with_context(|| format!("listen: listening on {}", settings.listen))?;
     spawn("traffic", move || {
         traffic.block_on(async {
+            tokio::spawn(paths::run(forwarder.clone()));
             accept::serve(forwarder, listener, stopped).await;
             // Requests in flight continue until the process ends.
             std::future::pending::<()>().await;
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -6,9 +6,10 @@
 
 use radishstair_core::proxy::fleet::{AttemptResult, Key};
 use radishstair_core::proxy::latency::Conditions;
+use radishstair_core::proxy::reach::Failure;
 use radishstair_core::time::Moment;
 
-use super::Shared;
+use super::{Shared, paths};
 
 /// A reservation on a runner; dropping it releases the runner's load.
 #[derive(Debug)]
@@ -57,17 +58,34 @@
     }
 
     /// Records an event that arrived `pause` after the previous one.
-    pub fn record_event(&self, pause: Duration) {
-        self.shared.state().record_event(self.key, pause);
+    pub fn record_event(&self, now: Moment, pause: Duration) {
+        let mut state = self.shared.state();
+        state.record_event(self.key, pause);
+        state.record_heard(now, self.key);
+    }
+
+    /// Records that the runner has sent the head of a response.
+    pub fn record_response(&self, now: Moment) {
+        let mut state = self.shared.state();
+        state.fleet.record_contact(now, self.key);
+        state.record_heard(now, self.key);
     }
 
     /// Records the outcome of an attempt on the runner.
     pub fn record_attempt(&self, result: AttemptResult) {
         let now = self.shared.now();
         self.shared.state().fleet.record_attempt(now, self.key, result);
-        if matches!(result, AttemptResult::Unreachable | AttemptResult::PathLost) {
-            self.shared.load_changed.notify_one();
-        }
+    }
+
+    /// Records that the runner could not be reached.
+    pub fn record_unreachable(&self, result: AttemptResult, failure: Failure) {
+        let now = self.shared.now();
+        let change = self
+            .shared
+            .state()
+            .record_unreachable(now, self.key, result, failure);
+        self.shared.load_changed.notify_one();
+        paths::on_failure(&self.shared, self.key, change);
     }
 }
 
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -146,7 +146,7 @@
     /// Several events that arrive together were delayed elsewhere and are not counted.
     pub fn record_pause(&mut self, now: Moment, events: &Events) {
         if let (Some(last_arrival), 1) = (self.last_arrival, events.ids.len()) {
-            self.response.slot.record_event(now.since(last_arrival));
+            self.response.slot.record_event(now, now.since(last_arrival));
         }
         self.last_arrival = Some(now);
     }
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -49,12 +49,25 @@
         at_most_once: bool,
         limit: Duration,
     ) -> Result<Connection> {
+        match self.take_idle(now, address, at_most_once).await {
+            Some(connection) => Ok(connection),
+            None => Connection::connect(address, limit.min(CONNECT_TIMEOUT)).await,
+        }
+    }
+
+    /// Takes an idle connection to a runner, if there is one.
+    pub async fn take_idle(
+        &self,
+        now: Moment,
+        address: SocketAddr,
+        at_most_once: bool,
+    ) -> Option<Connection> {
         while let Some(mut connection) = self.pop(now, address, at_most_once) {
             if connection.is_usable().await {
-                return Ok(connection);
+                return Some(connection);
             }
         }
-        Connection::connect(address, limit.min(CONNECT_TIMEOUT)).await
+        None
     }
 
     /// Returns a connection whose answer was read to its end.
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -16,6 +16,7 @@
 mod model;
 mod overload;
 mod placement;
+mod reach;
 mod readers;
 mod refresh;
 mod schedule;
