--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -33,6 +33,7 @@
 pub mod readers;
 pub mod refresh;
 pub mod regression;
+pub mod relay;
 pub mod report;
 pub mod route;
 pub mod scaling;
@@ -54,6 +55,7 @@
 use placement::{Choice, Demand, Inputs, Selection};
 use prefix::Index;
 use reach::Reach;
+use relay::Relays;
 use route::{Route, Table};
 use services::Services;
 use usage::{Counter, Ledger};
@@ -123,6 +125,8 @@
     pub fleet: Fleet,
     /// Services that this host and its peers reach.
     pub reach: Reach,
+    /// Peers that connect to runners for this host.
+    pub relays: Relays,
     /// Runners that have each prompt prefix cached.
     pub prefixes: Index,
     /// Load that other hosts put on runners.
@@ -158,6 +162,7 @@
             store_contact: Freshness::default(),
             fleet: Fleet::new(zone),
             reach: Reach::default(),
+            relays: Relays::default(),
             prefixes: Index::default(),
             peers: Peers::default(),
             latencies: Services::default(),
--- a/crates/core/src/proxy/exchange.rs
+++ b/crates/core/src/proxy/exchange.rs
@@ -57,7 +57,10 @@
     /// Changes of this host's load since the last packet or update; `None` without changes.
     pub fn update(&mut self, me: Incarnation, report: u64, number: u32) -> Option<Update> {
         let loads: Vec<gossip::Load> = self.fleet.take_changed().map(gossip::Load::of).collect();
-        let unreachable = self.fleet.take_unreachable();
+        let reach = &self.reach;
+        let unreachable = self
+            .fleet
+            .take_unreachable_if(|service, failed_at| reach.is_heard_since(service, failed_at));
         let has_news = !loads.is_empty() || !unreachable.is_empty();
         has_news.then_some(Update {
             incarnation: me.0,
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -12,7 +12,8 @@
 mod cold;
 mod runner;
 
-pub use runner::{AttemptResult, Idle, Listed, Liveness, Load, Runner, Stage};
+use runner::Backoff;
+pub use runner::{AttemptResult, Idle, Listed, Liveness, Load, Runner, Stage, Way};
 
 arena_key! {
     /// Index of a runner in the fleet.
@@ -160,6 +161,7 @@
         runner.replaced = false;
         runner.retry_at = Moment::default();
         runner.failures = 0;
+        runner.relayed = Backoff::default();
         runner.failure_rate = 0.0;
         runner.slowdown = 1.0;
         runner.first_seen = sent;
@@ -188,6 +190,7 @@
             replaced: false,
             retry_at: Moment::default(),
             failures: 0,
+            relayed: Backoff::default(),
             first_seen,
             last_contact: Moment::default(),
             path_lost_at: None,
@@ -226,6 +229,22 @@
         self.arena.iter().filter(of_service).count()
     }
 
+    /// Runners of a service to which new requests can be sent through a peer.
+    ///
+    /// What this host has found out on its own path does not count: backoffs, zones to avoid, and doubts
+    /// whether a runner has restarted. The peer connects only to runners that it would use itself.
+    pub fn available_to_peers<'a>(
+        &'a self,
+        now: Moment,
+        service: &'a str,
+    ) -> impl Iterator<Item = (Key, &'a Runner)> {
+        self.runners().filter(move |(_, runner)| {
+            runner.listed.service == service
+                && runner.is_available_to_peers(now)
+                && self.is_listed_warm(now, runner)
+        })
+    }
+
     /// Runners of a service that can be sent new requests.
     pub fn available<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
         let serves = move |runner: &Runner| {
@@ -241,6 +260,13 @@
             .filter(move |(_, runner)| serves(runner) && (!has_reachable || is_reachable(runner)))
     }
 
+    /// Whether a runner can be used through a peer and has not restarted since `since`, when it got a
+    /// prefix.
+    pub fn has_cached_for_peers(&self, now: Moment, key: Key, since: Moment) -> bool {
+        let runner = self.get(key);
+        runner.is_some_and(|runner| runner.is_available_to_peers(now) && runner.first_seen <= since)
+    }
+
     /// Whether a runner can be used and has not restarted since `since`, when it got a prefix.
     pub fn has_cached(&self, now: Moment, key: Key, since: Moment) -> bool {
         let runner = self.get(key);
@@ -407,6 +433,27 @@
         })
     }
 
+    /// Records the result of an attempt at a runner through a peer.
+    pub fn record_relayed_attempt(&mut self, now: Moment, key: Key, result: AttemptResult) {
+        let Some(runner) = self.get_mut(key) else {
+            return;
+        };
+        match result {
+            AttemptResult::Succeeded | AttemptResult::Failed => {
+                runner.relayed = Backoff::default();
+                runner.record_result(result == AttemptResult::Failed);
+            }
+            AttemptResult::Full => runner.relayed.retry_at = now + FULL_BACKOFF,
+            AttemptResult::Replaced => runner.replaced = true,
+            AttemptResult::Unreachable => runner.relayed.extend(now),
+            AttemptResult::PathLost => {
+                runner.path_lost_at = Some(now);
+                runner.relayed.extend(now);
+            }
+            AttemptResult::Broken => runner.record_result(true),
+        }
+    }
+
     /// Records the result of an attempt at a runner.
     ///
     /// The list lags seconds behind a crash. Without the backoff, each request would try the dead
@@ -429,7 +476,7 @@
                 if result == AttemptResult::PathLost {
                     runner.path_lost_at = Some(now);
                 }
-                runner.retry_at = now + (MIN_BACKOFF * 2u32.saturating_pow(runner.failures)).min(MAX_BACKOFF);
+                runner.retry_at = now + backoff(runner.failures);
                 runner.failures = (runner.failures + 1).min(5);
                 self.doubt_unreachable(now, key);
                 self.record_unreachable(now, &zone);
@@ -440,10 +487,22 @@
                 // fault of the runner.
                 runner.failures = (runner.failures + 1).min(5);
                 if runner.failures >= 3 {
-                    runner.retry_at =
-                        now + (MIN_BACKOFF * 2u32.saturating_pow(runner.failures - 3)).min(MAX_BACKOFF);
+                    runner.retry_at = now + backoff(runner.failures - 3);
                 }
             }
         }
     }
 }
+
+/// Pause after this many failures in a row, not counting the last one.
+fn backoff(failures: u32) -> Duration {
+    (MIN_BACKOFF * 2u32.saturating_pow(failures)).min(MAX_BACKOFF)
+}
+
+impl Backoff {
+    /// Adds a failure.
+    fn extend(&mut self, now: Moment) {
+        self.retry_at = now + backoff(self.failures);
+        self.failures = (self.failures + 1).min(5);
+    }
+}
--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -89,12 +89,18 @@
 
     fn end_doubt(&mut self, warm_at: Moment) {
         self.doubted_at = None;
+        self.is_unreported = false;
         self.warm_at = Some(self.warm_at.map_or(warm_at, |known| known.max(warm_at)));
     }
 
     fn is_warm(&self, now: Moment) -> bool {
         let is_doubted = |doubted_at: Moment| now.since(doubted_at) < MAX_DOUBT;
-        self.warm_at.is_none_or(|warm_at| now.reached(warm_at)) && !self.doubted_at.is_some_and(is_doubted)
+        self.is_known_warm(now) && !self.doubted_at.is_some_and(is_doubted)
+    }
+
+    /// Whether it is warm according to its entry and its answers.
+    fn is_known_warm(&self, now: Moment) -> bool {
+        self.warm_at.is_none_or(|warm_at| now.reached(warm_at))
     }
 
     /// Whether it has been warm for long enough for other zones to know its load.
@@ -162,6 +168,12 @@
             && self.is_sender(runner.hash)
     }
 
+    /// Whether a runner is warm according to its entry, whatever this host's own path indicates.
+    pub(super) fn is_listed_warm(&self, now: Moment, runner: &Runner) -> bool {
+        let is_near = runner.listed.zone == self.zone;
+        runner.cold.is_known_warm(now) && (is_near || runner.cold.is_settled(now))
+    }
+
     /// Whether this host is one of those that send requests to a cold runner of its zone.
     fn is_sender(&self, runner: u64) -> bool {
         let own = rendezvous_weight(runner, self.own_host);
@@ -236,7 +248,16 @@
     /// Hashes of the runners that this host could not reach and has not told the others about; they
     /// count as told from now on.
     pub fn take_unreachable(&mut self) -> Vec<u64> {
-        let unreported = self.arena.iter_mut().filter(|runner| runner.cold.is_unreported);
+        self.take_unreachable_if(|_, _| true)
+    }
+
+    /// The same for the runners that `confirms` accepts, by their service and the moment at which they
+    /// could not be reached. The others are kept for later.
+    pub fn take_unreachable_if(&mut self, confirms: impl Fn(&str, Moment) -> bool) -> Vec<u64> {
+        let unreported = self.arena.iter_mut().filter(|runner| {
+            let failed_at = runner.cold.doubted_at.unwrap_or_default();
+            runner.cold.is_unreported && confirms(&runner.listed.service, failed_at)
+        });
         let hashes = unreported.map(|runner| {
             runner.cold.is_unreported = false;
             runner.hash
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -10,6 +10,8 @@
 /// Weight of the newest answer in the failure rate. A host sees an answer of a runner every two
 /// seconds, and partial failures last for some seconds.
 const FAILURE_WEIGHT: f64 = 0.25;
+/// Time without contact after which a runner is silent.
+const SILENT_AFTER: Duration = Duration::from_millis(300);
 /// Weight of the newest answer in the slowdown, and limits of the ratio of a single answer.
 const SLOWDOWN_WEIGHT: f64 = 0.1;
 const MIN_SLOWDOWN: f64 = 0.3;
@@ -73,6 +75,27 @@
     }
 }
 
+plain! {
+    /// Way on which requests are sent to a runner.
+    #[derive(Copy, Default, Eq)]
+    pub enum Way {
+        /// This host connects to it.
+        #[default]
+        Direct,
+        /// A peer connects to it for this host.
+        Relayed,
+    }
+}
+
+plain! {
+    /// Failures in a row, and the pause after them.
+    #[derive(Copy, Default, Eq)]
+    pub(super) struct Backoff {
+        pub(super) retry_at: Moment,
+        pub(super) failures: u32,
+    }
+}
+
 plain! {
     /// What a request that waits for its answer should do about its runner's silence.
     #[derive(Copy, Eq)]
@@ -176,6 +199,8 @@
         pub(super) replaced: bool,
         pub(super) retry_at: Moment,
         pub(super) failures: u32,
+        /// Failures to reach it through peers.
+        pub(super) relayed: Backoff,
         /// Start of the current process as first seen; a new process has an empty cache.
         pub(super) first_seen: Moment,
         /// When it was last heard or probed.
@@ -195,6 +220,11 @@
         self.is_listed(now) && now.reached(self.retry_at)
     }
 
+    /// Whether it can be sent new requests through a peer.
+    pub fn is_available_to_peers(&self, now: Moment) -> bool {
+        self.is_listed(now) && now.reached(self.relayed.retry_at)
+    }
+
     /// Whether it accepts new requests according to the list, and its zone is not evacuated.
     pub fn is_listed(&self, now: Moment) -> bool {
         self.is_present(now) && !self.replaced && !self.evacuated && self.listed.stage == Stage::Ready
@@ -209,6 +239,11 @@
         self.gone_at.is_none_or(|gone_at| !now.reached(gone_at))
     }
 
+    /// Whether it was not heard lately, so that its open connections may be dead.
+    pub fn is_silent(&self, now: Moment) -> bool {
+        now.since(self.last_contact) >= SILENT_AFTER
+    }
+
     pub(super) fn record_result(&mut self, failed: bool) {
         self.failure_rate += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failure_rate);
     }
--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -165,6 +165,9 @@
     /// Short hashes of the services to which the sender has lost the path.
     #[prost(fixed32, repeated, tag = "15")]
     pub lost: Vec<u32>,
+    /// Connections that the sender relays for other hosts.
+    #[prost(uint32, tag = "16")]
+    pub relayed: u32,
 }
 
 /// Time between packets for this number of hosts.
--- a/crates/core/src/proxy/memory.rs
+++ b/crates/core/src/proxy/memory.rs
@@ -98,3 +98,19 @@
         false => usize::MAX,
     }
 }
+
+/// Share of the host's memory for connections that it relays for other hosts.
+const RELAYED_SHARE: f64 = 0.05;
+/// Memory that a relayed connection takes while its ends do not read: the buffers of both sockets and
+/// those in between.
+const RELAYED_BYTES: f64 = 96.0 * 1024.0;
+/// Connections that a host of unknown memory relays.
+const DEFAULT_RELAYED: usize = 256;
+
+/// Number of connections that a host with this many megabytes relays for other hosts.
+pub fn max_relayed(megabytes: f64) -> usize {
+    match megabytes > 0.0 {
+        true => (megabytes * 1e6 * RELAYED_SHARE / RELAYED_BYTES) as usize,
+        false => DEFAULT_RELAYED,
+    }
+}
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -27,7 +27,7 @@
 
 use zones::{LoadEstimate, ZoneLoads};
 
-use super::fleet::{Fleet, Key, Runner};
+use super::fleet::{Fleet, Key, Runner, Way};
 use super::latency::{Conditions, Latency, ms};
 use super::overload::Patience;
 use super::partition::{self, Partition};
@@ -94,6 +94,8 @@
         pub copies_prefix: bool,
         /// Whether it may run at most once.
         pub at_most_once: bool,
+        /// Way on which it will be sent.
+        pub way: Way,
         /// Random number that breaks ties.
         pub random: u64,
     }
@@ -221,11 +223,11 @@
     tried: &[Key],
     patience: Option<Patience>,
 ) -> Selection {
-    let eligible: Vec<(Key, &Runner)> = inputs
-        .fleet
-        .available(now, &demand.service)
-        .filter(|(key, _)| !tried.contains(key))
-        .collect();
+    let mut eligible: Vec<(Key, &Runner)> = match demand.way {
+        Way::Direct => inputs.fleet.available(now, &demand.service).collect(),
+        Way::Relayed => inputs.fleet.available_to_peers(now, &demand.service).collect(),
+    };
+    eligible.retain(|(key, _)| !tried.contains(key));
     let count = eligible.len() as u32;
     let eligible = memory::with_room(inputs.memory, eligible, demand);
     let choice = match demand.prompt_tokens {
@@ -405,7 +407,7 @@
         for (id, tokens) in demand.shared_prefixes().into_iter().rev() {
             let holders = inputs.prefixes.holders(now, id);
             let here: Vec<&Holder> = holders
-                .filter(|holder| inputs.fleet.has_cached(now, holder.key, holder.since))
+                .filter(|holder| has_cached(inputs, now, demand.way, holder))
                 .collect();
             for holder in &here {
                 if let Err(at) = cached.find(holder.key) {
@@ -455,6 +457,13 @@
     }
 }
 
+fn has_cached(inputs: Inputs<'_>, now: Moment, way: Way, holder: &Holder) -> bool {
+    match way {
+        Way::Direct => inputs.fleet.has_cached(now, holder.key, holder.since),
+        Way::Relayed => inputs.fleet.has_cached_for_peers(now, holder.key, holder.since),
+    }
+}
+
 /// Time after which a prefix sent to a runner is certainly cached there.
 fn cached_after(latency: &Latency, tokens: u64) -> Duration {
     CACHED_AFTER + latency.prefill(tokens, 0).mul_f64(CACHED_AFTER_FACTOR)
--- a/crates/core/src/proxy/reach.rs
+++ b/crates/core/src/proxy/reach.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use super::State;
-use super::fleet::{AttemptResult, Key, Runner};
+use super::fleet::{AttemptResult, Key, Liveness, Runner, Way};
 use super::services::Services;
 use crate::id::{digest, rendezvous_weight};
 use crate::time::Moment;
@@ -25,6 +25,12 @@
 const FALSE_ALARM: Duration = Duration::from_millis(300);
 /// Duration of the return to the path after a loss.
 const RETURN_TIME: Duration = Duration::from_millis(1_500);
+/// Time before a timeout within which a sign of the service shows that the path still works.
+const HEARD_BEFORE_LOSS: Duration = Duration::from_millis(150);
+/// Time without any sign of a service, from which its path is probed if several runners owe an answer.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Time without an answer after which a request gives up a path that is known to be lost.
+const LOST_AFTER: Duration = Duration::from_millis(800);
 /// Time between two probes of a lost path: at first, and at most.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(2);
@@ -132,10 +138,10 @@
         }
         self.failed.push((key, now));
         self.has_timeout |= failure == Failure::Timeout;
+        let is_silent = failure == Failure::Refused || !self.is_heard_within(now, HEARD_BEFORE_LOSS);
         match self.phase {
-            Phase::Lost { .. } => None,
-            Phase::Returning { .. } => Some(self.lose(now)),
-            Phase::Direct if self.failed.len() >= LOST_RUNNERS.min(runners.max(1)) => {
+            Phase::Returning { .. } if is_silent => Some(self.lose(now)),
+            Phase::Direct if is_silent && self.failed.len() >= LOST_RUNNERS.min(runners.max(1)) => {
                 self.lost_at = now;
                 Some(self.lose(now))
             }
@@ -143,9 +149,14 @@
                 self.suspect(now);
                 None
             }
+            Phase::Lost { .. } | Phase::Returning { .. } => None,
         }
     }
 
+    fn is_heard_within(&self, now: Moment, time: Duration) -> bool {
+        self.heard_at.is_some_and(|heard_at| now.since(heard_at) < time)
+    }
+
     fn lose(&mut self, now: Moment) -> Change {
         self.phase = Phase::Lost { since: now };
         self.probe_at = Some(now);
@@ -206,6 +217,19 @@
     }
 }
 
+plain! {
+    /// What is known of a peer's path to a service, best first.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub enum Vouch {
+        /// It has heard a runner of the service lately.
+        Reached,
+        /// It has not reported anything about the service.
+        Unknown,
+        /// It has lost its path.
+        Lost,
+    }
+}
+
 plain! {
     /// What a host tells its peers about the services that it reaches.
     #[derive(Default, Eq)]
@@ -214,6 +238,8 @@
         pub reached: Vec<u32>,
         /// Short hashes of services to which it has lost the path.
         pub lost: Vec<u32>,
+        /// Connections that it relays for other hosts.
+        pub relayed: u32,
     }
 }
 
@@ -316,13 +342,64 @@
             .count()
     }
 
+    /// Whether a request uses a path to which requests return since `since`: the share of those that do
+    /// grows with the time.
+    pub fn has_returned(&self, now: Moment, since: Moment, random: u64) -> bool {
+        let draw = RETURN_TIME.mul_f64(random as f64 / u64::MAX as f64);
+        now.since(since) >= draw
+    }
+
+    /// Whether connections that are open may still be used, as new ones were only refused.
+    pub fn keeps_open(&self, service: &str) -> bool {
+        self.paths.get(service).is_none_or(|path| !path.has_timeout)
+    }
+
+    /// Whether the path was lost after `sent`, and nothing has come on it since.
+    pub fn is_lost_since(&self, service: &str, sent: Moment) -> bool {
+        let Some(path) = self.paths.get(service) else {
+            return false;
+        };
+        let is_silent = path
+            .heard_at
+            .is_none_or(|heard_at| heard_at.since(sent).is_zero());
+        matches!(path.phase, Phase::Lost { .. }) && path.has_timeout && is_silent
+    }
+
+    /// Whether the path is in use and something has come on it since a moment, so that a failure at
+    /// that moment was the runner's.
+    pub fn is_heard_since(&self, service: &str, moment: Moment) -> bool {
+        let path = self.paths.get(service);
+        path.is_some_and(|path| {
+            let heard_at = path.heard_at.unwrap_or_default();
+            path.phase == Phase::Direct && !heard_at.since(moment).is_zero()
+        })
+    }
+
+    /// Requests a probe of the path to a service, if it seems to be in use.
+    pub fn suspect(&mut self, now: Moment, service: &str) {
+        self.paths.get_or_default(service).suspect(now);
+    }
+
+    /// What is known of a peer's path to a service, and how many connections it relays.
+    pub fn vouch(&self, now: Moment, peer: SocketAddr, service: &str) -> (Vouch, u32) {
+        let found = self.peers.binary_search_by_key(&peer, |peer| peer.address);
+        let peer = found.ok().map(|at| &self.peers[at]);
+        let Some(peer) = peer.filter(|peer| now.since(peer.received) < REPORT_AGE) else {
+            return (Vouch::Unknown, 0);
+        };
+        let hash = short_hash(service);
+        let vouch = match () {
+            () if peer.report.lost.contains(&hash) => Vouch::Lost,
+            () if peer.report.reached.contains(&hash) => Vouch::Reached,
+            () => Vouch::Unknown,
+        };
+        (vouch, peer.report.relayed)
+    }
+
     /// What this host tells its peers.
     pub fn report(&self, now: Moment) -> Report {
         let is_lost = |path: &Path| matches!(path.phase, Phase::Lost { .. });
-        let is_reached = |path: &Path| {
-            let is_recent = |heard_at: Moment| now.since(heard_at) < REACHED_AGE;
-            !is_lost(path) && path.heard_at.is_some_and(is_recent)
-        };
+        let is_reached = |path: &Path| !is_lost(path) && path.is_heard_within(now, REACHED_AGE);
         let hashes = |matches: &dyn Fn(&Path) -> bool| {
             let paths = self.paths.iter().filter(|(_, path)| matches(path));
             paths.map(|(service, _)| short_hash(service)).collect()
@@ -330,6 +407,7 @@
         Report {
             reached: hashes(&is_reached),
             lost: hashes(&is_lost),
+            relayed: 0,
         }
     }
 
@@ -361,6 +439,42 @@
 }
 
 impl State {
+    /// Decides what a request that was sent at `sent` should do about its runner's silence.
+    ///
+    /// When several runners owe an answer and nothing comes from any runner of the service, the path is
+    /// probed sooner than a single silent runner would be.
+    pub fn liveness(&mut self, now: Moment, key: Key, way: Way, sent: Moment) -> Liveness {
+        if let Some(runner) = self.fleet.get(key).filter(|_| way == Way::Direct) {
+            let service = runner.listed.service.clone();
+            let waited = now.since(sent);
+            if waited >= LOST_AFTER && self.reach.is_lost_since(&service, sent) {
+                return Liveness::PathLost;
+            }
+            if waited >= SILENCE && self.is_silent(now, &service) {
+                self.reach.suspect(now, &service);
+            }
+        }
+        match self.fleet.liveness(now, key, sent) {
+            Liveness::Recent(remaining) => Liveness::Recent(remaining.min(SILENCE)),
+            other => other,
+        }
+    }
+
+    /// Requests a probe of the path to a runner's service.
+    pub fn suspect_path(&mut self, now: Moment, key: Key) {
+        if let Some(runner) = self.fleet.get(key) {
+            self.reach.suspect(now, &runner.listed.service);
+        }
+    }
+
+    /// Whether several runners of a service owe an answer and nothing has come from any of them lately.
+    fn is_silent(&self, now: Moment, service: &str) -> bool {
+        let heard_at = self.reach.heard_at(service);
+        let is_busy = |runner: &Runner| runner.listed.service == service && runner.local_load.running > 0;
+        let busy = self.fleet.runners().filter(|(_, runner)| is_busy(runner));
+        heard_at.is_some_and(|at| now.since(at) >= SILENCE) && busy.count() >= LOST_RUNNERS
+    }
+
     /// Records that a runner has accepted a new connection of this host.
     pub fn record_connection(&mut self, now: Moment, key: Key) -> Option<Change> {
         let service = &self.fleet.get(key)?.listed.service;
--- a/crates/core/src/proxy/usage.rs
+++ b/crates/core/src/proxy/usage.rs
@@ -81,6 +81,9 @@
         /// Bandwidth of the host's link in Mbit/s; 0 if unknown.
         #[serde(default)]
         pub link_mbps: u32,
+        /// Hash of the run's [secret](super::relay::Secret); empty if it has none.
+        #[serde(default)]
+        pub relay_hash: String,
     }
 }
 
@@ -90,6 +93,7 @@
         Presence {
             zone: zone.to_string(),
             link_mbps,
+            relay_hash: String::new(),
             host: self.host.clone(),
             incarnation: self.incarnation,
             began: self.began,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,10 +48,10 @@
     pub direction: &'static str,
 }
 
-/// Label of new connections to runners.
+/// Label of new connections to runners, and of those that peers ask for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ConnectionLabel {
-    /// `ok`, `timeout` or `refused`.
+    /// `ok`, `timeout` or `refused`; of relayed connections `ok`, or why they were refused.
     pub outcome: &'static str,
 }
 
@@ -87,6 +87,12 @@
     pub refused_connections: Counter,
     /// New connections to runners.
     pub runner_connections: Family<ConnectionLabel, Counter>,
+    /// Connections that peers have asked for.
+    pub relays: Family<ConnectionLabel, Counter>,
+    /// Connections that this host relays for peers.
+    pub relayed_connections: Gauge,
+    /// Connections through peers that this host asked for.
+    pub relay_requests: Family<ConnectionLabel, Counter>,
     /// Services to which this host has lost the path.
     pub lost_services: Gauge,
     /// Calls to the platform.
@@ -128,6 +134,9 @@
             forwarded_calls: Counter::default(),
             refused_connections: Counter::default(),
             runner_connections: Family::default(),
+            relays: Family::default(),
+            relayed_connections: Gauge::default(),
+            relay_requests: Family::default(),
             lost_services: Gauge::default(),
             platform_calls: Family::default(),
             response_bytes: Family::default(),
@@ -181,6 +190,21 @@
             "New connections to runners by outcome",
             self.runner_connections.clone(),
         );
+        registry.register(
+            "relays",
+            "Connections that peers have asked for by outcome",
+            self.relays.clone(),
+        );
+        registry.register(
+            "relayed_connections",
+            "Connections relayed for peers",
+            self.relayed_connections.clone(),
+        );
+        registry.register(
+            "relay_requests",
+            "Connections asked for at peers by outcome",
+            self.relay_requests.clone(),
+        );
         registry.register(
             "lost_services",
             "Services to which the path is lost",
@@ -298,6 +322,18 @@
             .inc();
     }
 
+    /// Counts a connection that a peer has asked for.
+    pub fn count_relay(&self, outcome: &'static str) {
+        self.relays.get_or_create(&ConnectionLabel { outcome }).inc();
+    }
+
+    /// Counts a connection asked for at a peer.
+    pub fn count_relay_request(&self, outcome: &'static str) {
+        self.relay_requests
+            .get_or_create(&ConnectionLabel { outcome })
+            .inc();
+    }
+
     /// Counts a finished call to the platform.
     pub fn count_platform_call(&self, call: &'static str, outcome: &'static str) {
         self.platform_calls
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -11,7 +11,8 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use radishstair_core::id::{Incarnation, digest};
@@ -20,8 +21,10 @@
 use radishstair_core::proxy::document::Document;
 use radishstair_core::proxy::mirror::Mirror;
 use radishstair_core::proxy::readers::{self, Host};
+use radishstair_core::proxy::relay::{Secret, is_secret};
 use radishstair_core::proxy::usage::Record;
 use radishstair_core::time::Moment;
+use tokio::runtime::Handle;
 use tokio::sync::{Notify, Semaphore};
 
 use crate::clock::Clock;
@@ -38,6 +41,7 @@
 pub mod changes;
 pub mod client;
 pub mod collector;
+mod connect;
 pub mod discovery;
 pub mod document;
 pub mod duty;
@@ -49,6 +53,7 @@
 pub mod packing;
 pub mod paths;
 pub mod records;
+pub mod relay;
 pub mod reply;
 pub mod run;
 pub mod settings;
@@ -114,6 +119,14 @@
     load_changed: Notify,
     /// Notified when a path to runners has to be checked.
     path_suspected: Notify,
+    /// Secret of this run, shown to peers that relay connections.
+    secret: Secret,
+    /// Runs of hosts and the hashes of their secrets, as published; sorted by run.
+    published_hashes: Mutex<Vec<(Incarnation, String)>>,
+    /// Connections relayed for other hosts.
+    relayed: relay::Relayed,
+    /// Runtime of the thread that forwards requests.
+    traffic: OnceLock<Handle>,
     /// Memory held for callers.
     memory: Arc<held::Quota>,
     /// Number of requests in flight.
@@ -163,6 +176,10 @@
             started: Notify::new(),
             load_changed: Notify::new(),
             path_suspected: Notify::new(),
+            secret: Secret::new(rand::random()),
+            published_hashes: Mutex::default(),
+            relayed: relay::Relayed::default(),
+            traffic: OnceLock::new(),
             memory,
             active_requests: in_flight::Counter::default(),
             peers: ArcSwap::default(),
@@ -265,6 +282,31 @@
         addresses
     }
 
+    /// Stores the hashes of the secrets of all present runs.
+    fn record_hashes(&self, mut hashes: Vec<(Incarnation, String)>) {
+        hashes.sort_unstable();
+        let mut published = self
+            .published_hashes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *published = hashes;
+    }
+
+    /// Whether a text is the secret of a present run.
+    fn is_peer(&self, run: Incarnation, secret: &str) -> bool {
+        let published = self
+            .published_hashes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let found = published.binary_search_by_key(&run, |(run, _)| *run);
+        found.is_ok_and(|at| is_secret(secret, &published[at].1))
+    }
+
+    /// Whether a byte has passed on a relayed connection within a time before `now`.
+    fn is_relaying(&self, now: Moment, within: Duration) -> bool {
+        self.relayed.open() > 0 && now.since(self.relayed.last_active()) < within
+    }
+
     /// Host that holds the duty, if it is known.
     fn duty_holder(&self) -> MutexGuard<'_, Option<SocketAddr>> {
         self.duty_holder.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/proxy/admin.rs
+++ b/crates/entry/src/proxy/admin.rs
@@ -12,7 +12,8 @@
 use tokio::net::TcpListener;
 
 use super::reply::{Body, with_body};
-use super::{Shared, changes, collector};
+use super::{Shared, changes, collector, relay};
+use crate::upstream;
 
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
@@ -46,6 +47,9 @@
                         Port::Peers(queue) if request.uri().path() == collector::PATH => {
                             collector::respond(&queue, request).await
                         }
+                        Port::Peers(_) if request.uri().path() == upstream::relay::PATH => {
+                            relay::respond(&shared, request).await
+                        }
                         Port::Peers(_) => changes::respond(&shared, &request),
                     })
                 }
@@ -53,7 +57,8 @@
             let served = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(stream), service)
+                .with_upgrades();
             // Errors are ignored: the client tries again on another connection.
             let _ = served.await;
         });
@@ -67,6 +72,10 @@
             shared.metrics.keys_trusted.set(i64::from(trusted));
             let lost_services = shared.state().reach.lost_services();
             shared.metrics.lost_services.set(lost_services as i64);
+            shared
+                .metrics
+                .relayed_connections
+                .set(shared.relayed.open() as i64);
             shared.metrics.held_memory.set(shared.held_bytes() as i64);
             shared.metrics.requests_in_flight.set(shared.in_flight() as i64);
             shared.metrics.log_lines_dropped.set(log::dropped_lines() as i64);
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -7,11 +7,9 @@
 //! runner. The retries are in [`buffered`](super::buffered) for buffered requests and in
 //! [`stream`](super::stream) for streams.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -19,29 +17,25 @@
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal};
-use radishstair_core::proxy::Placement;
-use radishstair_core::proxy::fleet::{AttemptResult, Key, Liveness};
+use radishstair_core::proxy::fleet::{AttemptResult, Way};
 use radishstair_core::proxy::placement::{Choice, Demand};
-use radishstair_core::proxy::reach::Failure as Reason;
+use radishstair_core::proxy::relay::Tried;
+use radishstair_core::proxy::{Placement, State};
 use radishstair_core::retry::Fault;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
+use super::Shared;
 use super::adapter::{Forwarding, Provenance};
 use super::body::{self, ReadFailure};
 use super::held::{Held, HeldBody};
 use super::job::{AttemptLog, Job};
 use super::reply::retry_after;
 use super::slot::Slot;
-use super::{Shared, paths};
 use crate::upstream::attempts;
-use crate::upstream::connection::{self, Connection};
-use crate::upstream::pool::{self, Pool};
+use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, ResponseConnection};
 
-/// Consecutive connection attempts without an answer after which the path counts as lost.
-/// With 3 % packet loss, one attempt in thirty gets no answer.
-const MAX_UNANSWERED_CONNECTS: u32 = 2;
 /// Time limit for reading a refusal to its end, so that its connection can be reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -86,10 +80,17 @@
             true => None,
             false => job.patience(now),
         };
-        let demand = job.demand(rand::random());
+        let service = &job.admission.service;
+        let mut demand = job.demand(self.way(now, service), rand::random());
         let placement = {
-            let mut state = self.shared.state();
-            state.place_in_time(now, &demand, log.history.tried(), patience)
+            let tried = Tried {
+                all: log.history.tried(),
+                unreached: &log.unreached,
+            };
+            let is_relayed = |state: &State| self.has_relay(state, now, service);
+            self.shared
+                .state()
+                .place_on_way(now, &mut demand, tried, patience, is_relayed)
         };
         let kind = match placement {
             Placement::Placed(choice) => {
@@ -150,6 +151,7 @@
             key: choice.key,
             id,
             address,
+            way: demand.way,
             prefill_us: choice.prefill_us,
             kv_tokens: demand.kv_tokens(),
             conditions: choice.conditions,
@@ -172,7 +174,15 @@
         mut slot: Slot,
         log: &mut AttemptLog,
     ) -> Result<RunnerResponse, AttemptError> {
-        let connection = self.connect(job, &slot).await?;
+        let connection = match self.connect(job, &mut slot).await {
+            Ok(connection) => connection,
+            Err(fault) => {
+                if slot.way == Way::Direct {
+                    log.unreached.push(slot.key);
+                }
+                return Err(AttemptError::Failed(fault));
+            }
+        };
         // Last check before bytes are sent: connecting may have taken long, the
         // process may have been suspended, the runner may have started to drain.
         let now = self.shared.now();
@@ -180,12 +190,13 @@
         let request = self.build_request(now, job, after, &slot);
         slot.sent_at = Some(now);
         log.history.record_send();
+        let relay = connection.relay();
         let exchange = upstream::exchange(connection, slot.address, request);
         let exchanged = async {
             tokio::select! {
                 biased;
                 result = exchange => result,
-                () = self.wait_for_path_loss(job, &slot) => Err(Failure::MaybeSent),
+                () = self.wait_for_path_loss(job, &slot, relay) => Err(Failure::MaybeSent),
             }
         };
         let result = match job.time_left(now) {
@@ -200,6 +211,7 @@
             }
             Ok(Err(Failure::MaybeSent)) => {
                 slot.record_attempt(AttemptResult::Broken);
+                slot.suspect_path();
                 tracing::info!(
                     event = "runner-broke-off",
                     request = job.metadata.id,
@@ -215,75 +227,6 @@
         }
     }
 
-    /// Completes when the runner can no longer be reached.
-    ///
-    /// If this were left to the kernel, the connection would end without a reset. The
-    /// request would then reach the runner once the path is restored, seconds after its
-    /// caller was told that it failed.
-    async fn wait_for_path_loss(&self, job: &Job, slot: &Slot) {
-        let sent_at = self.shared.now();
-        loop {
-            let now = self.shared.now();
-            let liveness = self.shared.state().fleet.liveness(now, slot.key, sent_at);
-            match liveness {
-                Liveness::Recent(remaining) => tokio::time::sleep(remaining).await,
-                Liveness::Silent if self.is_reachable(slot).await => {}
-                Liveness::Silent => {
-                    slot.record_unreachable(AttemptResult::PathLost, Reason::Timeout);
-                    self.pool.remove(slot.address);
-                    break;
-                }
-                Liveness::PathLost => break,
-            }
-        }
-        tracing::info!(event = "path-lost", request = job.metadata.id, runner = slot.id);
-    }
-
-    /// Whether the runner accepts or refuses a new connection; either shows that the path works.
-    async fn is_reachable(&self, slot: &Slot) -> bool {
-        for _ in 0..MAX_UNANSWERED_CONNECTS {
-            let connected = self.open(slot.key, slot.address, pool::CONNECT_TIMEOUT).await;
-            match connected {
-                Ok(connection) => {
-                    self.pool
-                        .release(self.shared.now(), slot.address, connection, None);
-                    return true;
-                }
-                Err(err) if connection::is_connect_timeout(&err) => {}
-                Err(_) => return true,
-            }
-        }
-        false
-    }
-
-    /// Takes an idle connection to the runner from the pool, or opens a new one.
-    async fn connect(&self, job: &Job, slot: &Slot) -> Result<Connection, AttemptError> {
-        let now = self.shared.now();
-        let limit = job.time_left(now).unwrap_or(pool::CONNECT_TIMEOUT);
-        let once = job.is_at_most_once();
-        if let Some(connection) = self.pool.take_idle(now, slot.address, once).await {
-            return Ok(connection);
-        }
-        let connected = self
-            .open(slot.key, slot.address, limit.min(pool::CONNECT_TIMEOUT))
-            .await;
-        connected.map_err(|err| {
-            tracing::info!(event = "runner-unreachable", request = job.metadata.id, runner = slot.id, reason = %format!("{err:#}"));
-            slot.record_unreachable(AttemptResult::Unreachable, paths::failure(&err));
-            AttemptError::Failed(Fault::Unreachable)
-        })
-    }
-
-    /// Opens a connection to a runner.
-    pub(super) async fn open(&self, key: Key, address: SocketAddr, limit: Duration) -> Result<Connection> {
-        let connected = Connection::connect(address, limit).await;
-        self.shared.metrics.count_connection(paths::outcome(&connected));
-        if connected.is_ok() {
-            paths::on_connection(&self.shared, key);
-        }
-        connected
-    }
-
     /// Checks that the request may still be sent to this runner.
     fn check_before_send(
         &self,
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -114,6 +114,7 @@
         };
         self.update_zone_hosts();
         packet.link_mbps = self.shared.own_host().link_mbps;
+        packet.relayed = self.shared.relayed.open() as u32;
         self.reset_for_new_peers();
         let near = self.near_hosts(remote);
         if gossip::uses_summaries(near) {
@@ -386,6 +387,7 @@
                 let report = Report {
                     reached: packet.reached.clone(),
                     lost: packet.lost.clone(),
+                    relayed: packet.relayed,
                 };
                 shared.state().reach.record_report(now, peer, report);
                 shared.record_location(Host {
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::header::HOST;
 use hyper::http::request;
-use radishstair_core::proxy::fleet::Key;
+use radishstair_core::proxy::fleet::{Key, Way};
 use radishstair_core::proxy::overload::Patience;
 use radishstair_core::proxy::placement::Demand;
 use radishstair_core::proxy::route::Mode;
@@ -85,8 +85,9 @@
         request_head(&self.parts, &self.metadata)
     }
 
-    /// Load that the request puts on its runner; `random` breaks ties between runners.
-    pub fn demand(&self, random: u64) -> Demand {
+    /// Load that the request puts on its runner if it is sent on this way; `random` breaks ties between
+    /// runners.
+    pub fn demand(&self, way: Way, random: u64) -> Demand {
         Demand {
             service: self.admission.service.clone(),
             prompt_tokens: self.metadata.prompt_tokens,
@@ -99,6 +100,7 @@
             bytes: self.body.len() as u64,
             copies_prefix: self.admission.copies_prefix,
             at_most_once: self.is_at_most_once(),
+            way,
             random,
         }
     }
@@ -120,6 +122,8 @@
 pub struct AttemptLog {
     /// Runners tried, and whether the request may have run.
     pub history: retry::History<Key>,
+    /// Runners that could not be reached directly.
+    pub unreached: Vec<Key>,
     /// Id of the runner chosen last.
     pub last_runner: Option<String>,
     /// Number of runners among which the last one was chosen.
--- a/crates/entry/src/proxy/paths.rs
+++ b/crates/entry/src/proxy/paths.rs
@@ -3,17 +3,18 @@
 //! A connection is opened to a runner when something indicates that its service can no longer be reached,
 //! and at intervals while the path is lost.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
-use radishstair_core::proxy::fleet::Key;
-use radishstair_core::proxy::reach::{Change, Failure};
+use radishstair_core::proxy::fleet::{Key, Runner, Way};
+use radishstair_core::proxy::reach::{Change, Failure, Phase};
 use radishstair_core::time::Moment;
 
 use super::Shared;
 use super::forward::Forwarder;
-use crate::upstream::connection::{self, Connection};
+use crate::upstream::connection;
 use crate::upstream::pool;
 
 /// Time between two checks while nothing is to be probed; a check is also requested on each failure.
@@ -32,8 +33,10 @@
         };
         for (service, change) in ended {
             log_change(&shared, now, &service, change);
+            close_relayed(&forwarder, &service);
         }
         for service in due {
+            close_silent(&forwarder, &service);
             tokio::spawn(probe(forwarder.clone(), service));
         }
         let pause = next.map_or(IDLE_INTERVAL, |next| now.until(next));
@@ -44,6 +47,35 @@
     }
 }
 
+/// Closes the idle connections to a service's runners that may be dead: if the path is lost, those to
+/// silent runners, unless new connections were only refused.
+fn close_silent(forwarder: &Forwarder, service: &str) {
+    let now = forwarder.shared.now();
+    let silent: Vec<SocketAddr> = {
+        let state = forwarder.shared.state();
+        let is_lost = matches!(state.reach.phase(service), Phase::Lost { .. });
+        if !is_lost || state.reach.keeps_open(service) {
+            return;
+        }
+        let is_silent = |runner: &Runner| runner.listed.service == service && runner.is_silent(now);
+        let runners = state.fleet.runners().map(|(_, runner)| runner);
+        let silent = runners.filter(|runner| is_silent(runner));
+        silent.map(|runner| runner.listed.address).collect()
+    };
+    forwarder.pool.remove_all(&silent, Way::Direct);
+}
+
+/// Closes the idle connections to a service's runners that peers relay, as the path is in use again.
+fn close_relayed(forwarder: &Forwarder, service: &str) {
+    let addresses: Vec<SocketAddr> = {
+        let state = forwarder.shared.state();
+        let listed = state.fleet.runners().map(|(_, runner)| &runner.listed);
+        let of_service = listed.filter(|listed| listed.service == service);
+        of_service.map(|listed| listed.address).collect()
+    };
+    forwarder.pool.remove_all(&addresses, Way::Relayed);
+}
+
 /// Opens a connection to some runners of a service; those that accept it keep it for the next request.
 async fn probe(forwarder: Arc<Forwarder>, service: String) {
     let now = forwarder.shared.now();
@@ -81,7 +113,7 @@
 }
 
 /// Outcome of a connection in metrics.
-pub fn outcome(connected: &Result<Connection>) -> &'static str {
+pub fn outcome<T>(connected: &Result<T>) -> &'static str {
     match connected.as_ref().map_err(failure) {
         Ok(_) => "ok",
         Err(Failure::Timeout) => "timeout",
--- a/crates/entry/src/proxy/records.rs
+++ b/crates/entry/src/proxy/records.rs
@@ -135,10 +135,14 @@
         self.last_read = Some(snapshot.as_of);
         self.versions.clear();
         let mut located = Vec::new();
+        let mut hashes = Vec::new();
         for entry in &snapshot.entries {
             if entry.key.starts_with(PRESENCE_PREFIX) {
                 if let Some(presence) = parse::<Presence>(entry) {
                     located.extend(host_of(&presence));
+                    if !presence.ended {
+                        hashes.push((presence.incarnation, presence.relay_hash.clone()));
+                    }
                     state.ledger.add_presence(now, presence);
                 }
             } else if let Some(run) = run_of_counts(&entry.key) {
@@ -158,6 +162,7 @@
         }
         self.shared.peers.store(Arc::new(peers));
         self.shared.record_locations(located);
+        self.shared.record_hashes(hashes);
     }
 
     /// Writes the presence for the first time, so that hosts that start together find each other.
@@ -177,7 +182,10 @@
 
     fn presence_of(&self, record: &Record) -> Presence {
         let settings = self.shared.settings.load();
-        record.presence(&settings.zone, settings.link_mbps as u32)
+        Presence {
+            relay_hash: self.shared.secret.hash(),
+            ..record.presence(&settings.zone, settings.link_mbps as u32)
+        }
     }
 
     /// Writes the presence and the counts if they are due. With `collect`, a peer writes the
--- a/crates/entry/src/proxy/run.rs
+++ b/crates/entry/src/proxy/run.rs
@@ -28,6 +28,8 @@
 const STOP_ACCEPT_DELAY: Duration = Duration::from_millis(2_700);
 /// Part of the grace period reserved for publishing the last counts and releasing the lease.
 const RELEASE_RESERVE: Duration = Duration::from_millis(1_100);
+/// Time without a byte after which relayed connections count as idle.
+const RELAY_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Time limit for these last calls to the platform.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between checks of the settings file, which may change without a signal.
@@ -49,9 +51,10 @@
         shared: shared.clone(),
         pool: Arc::new(pool),
     });
+    let traffic = runtime()?;
+    shared.traffic.get_or_init(|| traffic.handle().clone());
     let (finish, finished) = start_control(&settings, &shared, forwarder.pool.clone())?;
     let (stop, stopped) = watch::channel(false);
-    let traffic = runtime()?;
     let listener = traffic
         .block_on(TcpListener::bind(settings.listen))
         .with_context(|| format!("listen: listening on {}", settings.listen))?;
@@ -183,7 +186,8 @@
     thread::sleep(STOP_ACCEPT_DELAY.min(grace / 2));
     stop.send_replace(true);
     let drain_until = started_at + grace.saturating_sub(RELEASE_RESERVE);
-    while shared.in_flight() > 0 && Instant::now() < drain_until {
+    let is_busy = || shared.in_flight() > 0 || shared.is_relaying(shared.now(), RELAY_IDLE_TIME);
+    while is_busy() && Instant::now() < drain_until {
         thread::sleep(Duration::from_millis(50));
     }
 }
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::proxy::fleet::{AttemptResult, Key};
+use radishstair_core::proxy::fleet::{AttemptResult, Key, Way};
 use radishstair_core::proxy::latency::Conditions;
 use radishstair_core::proxy::reach::Failure;
 use radishstair_core::time::Moment;
@@ -21,6 +21,8 @@
     pub id: String,
     /// Address of the runner.
     pub(super) address: SocketAddr,
+    /// Way on which the request is sent.
+    pub(super) way: Way,
     /// Time to prefill the prompt, in microseconds; 0 once that has finished.
     pub(super) prefill_us: u64,
     /// Tokens of the runner's KV cache that the request occupies at its end.
@@ -61,23 +63,40 @@
     pub fn record_event(&self, now: Moment, pause: Duration) {
         let mut state = self.shared.state();
         state.record_event(self.key, pause);
-        state.record_heard(now, self.key);
+        if self.way == Way::Direct {
+            state.record_heard(now, self.key);
+        }
     }
 
     /// Records that the runner has sent the head of a response.
     pub fn record_response(&self, now: Moment) {
         let mut state = self.shared.state();
         state.fleet.record_contact(now, self.key);
-        state.record_heard(now, self.key);
+        if self.way == Way::Direct {
+            state.record_heard(now, self.key);
+        }
     }
 
     /// Records the outcome of an attempt on the runner.
     pub fn record_attempt(&self, result: AttemptResult) {
         let now = self.shared.now();
-        self.shared.state().fleet.record_attempt(now, self.key, result);
+        let mut state = self.shared.state();
+        match self.way {
+            Way::Direct => state.fleet.record_attempt(now, self.key, result),
+            Way::Relayed => state.fleet.record_relayed_attempt(now, self.key, result),
+        }
+    }
+
+    /// Has the path to the service probed, as a connection has broken off.
+    pub fn suspect_path(&self) {
+        if self.way == Way::Direct {
+            let now = self.shared.now();
+            self.shared.state().suspect_path(now, self.key);
+            self.shared.path_suspected.notify_one();
+        }
     }
 
-    /// Records that the runner could not be reached.
+    /// Records that this host could not reach the runner.
     pub fn record_unreachable(&self, result: AttemptResult, failure: Failure) {
         let now = self.shared.now();
         let change = self
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -23,6 +23,7 @@
 pub mod attempts;
 pub mod connection;
 pub mod pool;
+pub mod relay;
 
 use connection::{Connection, SendResult};
 use pool::Pool;
--- a/crates/entry/src/upstream/attempts.rs
+++ b/crates/entry/src/upstream/attempts.rs
@@ -53,5 +53,7 @@
         if let Some(err) = attempts.record_failure(fault) {
             return Err(err);
         }
+        // If many connections were reset together, those in the pool notice it before the next attempt.
+        tokio::task::yield_now().await;
     }
 }
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -37,6 +37,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Peer that relays it.
+    relay: Option<SocketAddr>,
 }
 
 /// Result of sending a request.
@@ -57,11 +59,15 @@
     ///
     /// When the address refuses or does not answer within `limit`.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self> {
-        let connecting = timeout(limit, TcpStream::connect(address)).await;
-        let stream = connecting
-            .with_context(|| format!("no answer from {address}"))?
-            .with_context(|| format!("connecting to {address}"))?;
-        set_socket_options(&stream).with_context(|| format!("setting up the connection to {address}"))?;
+        Self::over(dial(address, limit).await?, None).await
+    }
+
+    /// Uses a socket that was connected directly, or through a peer.
+    ///
+    /// # Errors
+    ///
+    /// When the socket is closed.
+    pub async fn over(stream: TcpStream, relay: Option<SocketAddr>) -> Result<Self> {
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(async move {
             // An error also reaches whoever waits for the answer.
@@ -70,9 +76,15 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            relay,
         })
     }
 
+    /// Peer that relays it; `None` if it is direct.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay
+    }
+
     /// Whether the connection is open and ready for a request.
     pub async fn is_usable(&mut self) -> bool {
         !self.sender.is_closed() && self.sender.ready().await.is_ok()
@@ -96,12 +108,32 @@
     }
 }
 
+/// Opens a socket with the options of all connections to runners and peers.
+///
+/// # Errors
+///
+/// When the address refuses or does not answer within `limit`.
+pub async fn dial(address: SocketAddr, limit: Duration) -> Result<TcpStream> {
+    let connecting = timeout(limit, TcpStream::connect(address)).await;
+    let stream = connecting
+        .with_context(|| format!("no answer from {address}"))?
+        .with_context(|| format!("connecting to {address}"))?;
+    set_socket_options(&stream).with_context(|| format!("setting up the connection to {address}"))?;
+    Ok(stream)
+}
+
 /// Whether an error of [`Connection::connect`] is a timeout rather than a refusal.
 pub fn is_connect_timeout(err: &anyhow::Error) -> bool {
     err.is::<Elapsed>()
 }
 
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options of connections to runners and peers: no delay, reset on close, and an end when the
+/// other side is silent.
+///
+/// # Errors
+///
+/// When the operating system refuses an option.
+pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     // With a linger time of zero, closing resets the connection and discards unsent bytes.
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use radishstair_core::proxy::fleet::Idle;
+use radishstair_core::proxy::fleet::{Idle, Way};
 use radishstair_core::time::Moment;
 
 use super::connection::Connection;
@@ -30,6 +30,15 @@
     idle: Idle,
 }
 
+impl IdleConnection {
+    fn way(&self) -> Way {
+        match self.connection.relay() {
+            Some(_) => Way::Relayed,
+            None => Way::Direct,
+        }
+    }
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -49,20 +58,21 @@
         at_most_once: bool,
         limit: Duration,
     ) -> Result<Connection> {
-        match self.take_idle(now, address, at_most_once).await {
+        match self.take_idle(now, address, at_most_once, Way::Direct).await {
             Some(connection) => Ok(connection),
             None => Connection::connect(address, limit.min(CONNECT_TIMEOUT)).await,
         }
     }
 
-    /// Takes an idle connection to a runner, if there is one.
+    /// Takes an idle connection to a runner on one way, if there is one.
     pub async fn take_idle(
         &self,
         now: Moment,
         address: SocketAddr,
         at_most_once: bool,
+        way: Way,
     ) -> Option<Connection> {
-        while let Some(mut connection) = self.pop(now, address, at_most_once) {
+        while let Some(mut connection) = self.pop(now, address, at_most_once, way) {
             if connection.is_usable().await {
                 return Some(connection);
             }
@@ -109,17 +119,34 @@
         self.lock().retain(|(key, _)| *key != address);
     }
 
-    fn pop(&self, now: Moment, address: SocketAddr, at_most_once: bool) -> Option<Connection> {
+    /// Closes the idle connections to addresses on one way.
+    pub fn remove_all(&self, addresses: &[SocketAddr], way: Way) {
+        let mut runners = self.lock();
+        let of_addresses = runners.iter_mut().filter(|(key, _)| addresses.contains(key));
+        of_addresses.for_each(|(_, connections)| connections.retain(|candidate| candidate.way() != way));
+    }
+
+    /// Closes the idle connections that a peer relays.
+    pub fn remove_relayed_by(&self, peer: SocketAddr) {
+        let is_other = |candidate: &IdleConnection| candidate.connection.relay() != Some(peer);
+        let mut runners = self.lock();
+        runners
+            .iter_mut()
+            .for_each(|(_, connections)| connections.retain(is_other));
+    }
+
+    fn pop(&self, now: Moment, address: SocketAddr, at_most_once: bool, way: Way) -> Option<Connection> {
         let mut runners = self.lock();
         let at = runners.binary_search_by_key(&address, |(key, _)| *key).ok()?;
         let connections = &mut runners[at].1;
-        let last = connections.last()?.idle;
-        if last.is_usable(now, at_most_once) {
-            return connections.pop().map(|candidate| candidate.connection);
+        let last = connections.iter().rposition(|candidate| candidate.way() == way)?;
+        let idle = connections[last].idle;
+        if idle.is_usable(now, at_most_once) {
+            return Some(connections.remove(last).connection);
         }
-        if !last.is_usable(now, false) {
+        if !idle.is_usable(now, false) {
             // The others were idle for longer.
-            connections.clear();
+            connections.retain(|candidate| candidate.way() != way);
         }
         None
     }
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -19,6 +19,7 @@
 mod reach;
 mod readers;
 mod refresh;
+mod relay;
 mod schedule;
 mod start;
 mod usage;
