Count a request once toward orders of runners until it is sent

Cause: each runner that a request was tried at counted as demand, also where nothing was sent because the runner could not be reached; a host that reaches none tries up to four.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -386,9 +386,12 @@
             }
             Selection::None => return Placement::NoRunner,
         };
-        // Refused work counts as well, so that runners are ordered for it.
-        self.meter
-            .add(now, &demand.service, choice.prefill_us, choice.is_long);
+        // Refused work counts as well, so that runners are ordered for it. Work that was not sent, as its runner
+        // could not be reached, counts once: more runners do not help a host that has lost its path.
+        if !demand.is_counted {
+            self.meter
+                .add(now, &demand.service, choice.prefill_us, choice.is_long);
+        }
         if !choice.in_time && patience.is_some_and(|patience| patience.is_refusable) {
             return Placement::Overloaded {
                 candidates: choice.candidates,
@@ -408,6 +411,9 @@
     /// Counts the work of a request that exceeds the memory of every runner, so that runners are
     /// ordered for it.
     fn meter_unplaced(&mut self, now: Moment, demand: &Demand) {
+        if demand.is_counted {
+            return;
+        }
         let latency = self.latencies.get_or_default(&demand.service);
         let prefill = latency.prefill(demand.prompt_tokens, 0);
         let is_long = self.partition(&demand.service).is_long(prefill);
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -94,6 +94,8 @@
         pub copies_prefix: bool,
         /// Whether it may run at most once.
         pub at_most_once: bool,
+        /// Whether its work has been counted as demand for runners, and it was not sent since.
+        pub is_counted: bool,
         /// Way on which it will be sent.
         pub way: Way,
         /// Random number that breaks ties.
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -81,7 +81,7 @@
             false => job.patience(now),
         };
         let service = &job.admission.service;
-        let mut demand = job.demand(self.way(now, service), rand::random());
+        let mut demand = job.demand(log, self.way(now, service), rand::random());
         let placement = {
             let tried = Tried {
                 all: log.history.tried(),
@@ -92,6 +92,9 @@
                 .state()
                 .place_on_way(now, &mut demand, tried, patience, is_relayed)
         };
+        if placement != Placement::NoRunner && !demand.is_counted {
+            log.counted += 1;
+        }
         let kind = match placement {
             Placement::Placed(choice) => {
                 log.candidates = choice.candidates;
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -85,9 +85,9 @@
         request_head(&self.parts, &self.metadata)
     }
 
-    /// Load that the request puts on its runner if it is sent on this way; `random` breaks ties between
-    /// runners.
-    pub fn demand(&self, way: Way, random: u64) -> Demand {
+    /// Load that the request puts on its runner if it is sent on this way, after the attempts in `log`;
+    /// `random` breaks ties between runners.
+    pub fn demand(&self, log: &AttemptLog, way: Way, random: u64) -> Demand {
         Demand {
             service: self.admission.service.clone(),
             prompt_tokens: self.metadata.prompt_tokens,
@@ -100,6 +100,7 @@
             bytes: self.body.len() as u64,
             copies_prefix: self.admission.copies_prefix,
             at_most_once: self.is_at_most_once(),
+            is_counted: log.is_counted(),
             way,
             random,
         }
@@ -117,11 +118,20 @@
     }
 }
 
+impl AttemptLog {
+    /// Whether the request has been counted as demand for runners since it was last sent.
+    pub fn is_counted(&self) -> bool {
+        self.counted > self.history.sends()
+    }
+}
+
 /// Attempts made for one request, with details for its log line.
 #[derive(Clone, Debug, Default)]
 pub struct AttemptLog {
     /// Runners tried, and whether the request may have run.
     pub history: retry::History<Key>,
+    /// Number of times that the request was counted as demand for runners.
+    pub counted: u32,
     /// Runners that could not be reached directly.
     pub unreached: Vec<Key>,
     /// Id of the runner chosen last.
--- a/tests/suite/proxy/placement.rs
+++ b/tests/suite/proxy/placement.rs
@@ -451,3 +451,21 @@
     assert!((9_000..=11_000).contains(&rate(3_990)), "{}", rate(3_990));
     assert_eq!(rate(20_000), 0);
 }
+
+/// Guards against runners that are ordered because this host does not reach those that there are: a request counts as
+/// demand once, however many runners are tried before it is sent.
+#[test]
+fn runners_that_are_not_reached_are_not_ordered_again() {
+    let mut state = host(4);
+    let mut tried = Vec::new();
+    let mut request = demand(2_000, 7);
+    let mut rates = Vec::new();
+    for _ in 0..4 {
+        let choice = state.place(at(10), &request, &tried).expect("a runner is left");
+        tried.push(choice.key);
+        request.is_counted = true;
+        rates.push(state.prefill_rate(at(20), "engines").total_us);
+    }
+    assert!(rates[0] > 0);
+    assert_eq!(rates, [rates[0]; 4]);
+}
