Keep the limits of brittle runners while nothing is answered

Limits doubled 3 s after the last notice and ended after 6 s, also when no answer had come since: a burst after a pause would have met runners that are still brittle with no limit. They now end 3 s after the first answer without the notice, and are doubled until then.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -386,8 +386,9 @@
             }
             Selection::None => return Placement::NoRunner,
         };
-        // Refused work counts as well, so that runners are ordered for it. Work that was not sent, as its runner
-        // could not be reached, counts once: more runners do not help a host that has lost its path.
+        // Refused work counts as well, so that runners are ordered for it. Work that was not sent, as
+        // its runner could not be reached, counts once: more runners do not help a host that has lost
+        // its path.
         if !demand.is_counted {
             self.meter
                 .add(now, &demand.service, choice.prefill_us, choice.is_long);
--- a/crates/core/src/proxy/fleet/brittle.rs
+++ b/crates/core/src/proxy/fleet/brittle.rs
@@ -1,14 +1,14 @@
 //! Runners that crash when they have to reject too many requests within a second.
 //!
-//! A rejection that has come back is too late, so the requests that all hosts together may have on such a
-//! runner are limited beforehand, without a message: to a share of its slots, of which each host has
-//! its part. Which hosts send to a runner is agreed as long as they have the same lists, by their order;
-//! each host has at least one runner. What differs between two lists moves a part of the hosts by a place, for which
-//! the rest of the slots is left.
+//! A rejection that has come back is too late, so the requests that all hosts together may have on such
+//! a runner are limited beforehand, without a message: to a share of its slots, of which each host has
+//! its part. Which hosts send to a runner is agreed as long as they have the same lists, by their
+//! order; each host has at least one runner. What differs between two lists moves a part of the hosts
+//! by a place, for which the rest of the slots is left.
 //!
-//! A runner that rejects a request all the same has less room than its slots. The host that was rejected
-//! sends it nothing for more than a second and tells the others; all of them lower its limit, which rises again
-//! step by step.
+//! A runner that rejects a request all the same has less room than its slots. The host that was
+//! rejected sends it nothing for more than a second and tells the others; all of them lower its limit,
+//! which rises again step by step.
 
 use std::time::Duration;
 
@@ -16,15 +16,15 @@
 use crate::proxy::services::Services;
 use crate::time::Moment;
 
-/// Share of a runner's slots that all hosts together use: so few that two halves of the hosts which do not know of
-/// each other still fit.
+/// Share of a runner's slots that all hosts together use: so few that two halves of the hosts which do
+/// not know of each other still fit.
 const SLOT_SHARE: f64 = 0.5;
 /// The same for runners that bear a rejection of each such host.
 const TOLERANT_SLOT_SHARE: f64 = 0.85;
-/// Time without a sign that the runners are brittle, after which their limits rise, and after which
-/// there are none.
-const RISE_AFTER: Duration = Duration::from_secs(3);
-const END_AFTER: Duration = Duration::from_secs(6);
+/// Time for which limits remain, raised, after an answer that no longer says that its runner is brittle.
+const RISE_TIME: Duration = Duration::from_secs(3);
+/// Time after which runners no longer count as brittle if none has answered.
+const MAX_AGE: Duration = Duration::from_secs(60);
 /// Age up to which a host tells the others what it has seen.
 const REPORT_AGE: Duration = Duration::from_secs(1);
 /// Factor of the limits while they rise.
@@ -48,6 +48,8 @@
         seen_at: Option<Moment>,
         /// When another host last reported it.
         reported_at: Option<Moment>,
+        /// First answer that did not say so, after those that did.
+        cleared_at: Option<Moment>,
     }
 }
 
@@ -63,10 +65,29 @@
 
     /// Factor of the limits; `None` if there are none.
     fn factor(&self, now: Moment) -> Option<f64> {
-        match now.since(self.seen_at.max(self.reported_at)?) {
-            age if age < RISE_AFTER => Some(1.0),
-            age if age < END_AFTER => Some(RISE_FACTOR),
-            _ => None,
+        let told_at = self.told_at()?;
+        match self.cleared_after(told_at) {
+            None => (now.since(told_at) < MAX_AGE).then_some(1.0),
+            Some(cleared_at) => (now.since(cleared_at) < RISE_TIME).then_some(RISE_FACTOR),
+        }
+    }
+
+    /// When it was last known that they are brittle.
+    fn told_at(&self) -> Option<Moment> {
+        self.seen_at.max(self.reported_at)
+    }
+
+    fn cleared_after(&self, told_at: Moment) -> Option<Moment> {
+        self.cleared_at
+            .filter(|cleared_at| !cleared_at.since(told_at).is_zero())
+    }
+
+    /// Records an answer that does not say that its runner is brittle.
+    fn clear(&mut self, now: Moment) {
+        if let Some(told_at) = self.told_at()
+            && self.cleared_after(told_at).is_none()
+        {
+            self.cleared_at = Some(now);
         }
     }
 }
@@ -109,15 +130,20 @@
     /// Records whether an answer of a runner said that it is brittle, and how many rejections within a
     /// second it bears.
     pub fn record_brittle(&mut self, now: Moment, key: Key, max_rejections: Option<u32>) {
-        let Some(max_rejections) = max_rejections else {
-            return;
-        };
         let Some(service) = self.get(key).map(|runner| runner.listed.service.clone()) else {
             return;
         };
-        let state = self.brittle.get_or_default(&service);
-        state.max_rejections = max_rejections;
-        state.seen_at = Some(now);
+        match max_rejections {
+            Some(max_rejections) => {
+                let state = self.brittle.get_or_default(&service);
+                state.max_rejections = max_rejections;
+                state.seen_at = Some(now);
+            }
+            None if self.brittle.get(&service).is_some() => {
+                self.brittle.get_or_default(&service).clear(now);
+            }
+            None => {}
+        }
     }
 
     /// Records that another host has seen that the runners of a service are brittle.
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -87,22 +87,23 @@
         }
     }
 
-    /// Records whether the runner says that it crashes when it rejects too much.
+    /// Records whether the runner's answer says that it crashes when it rejects too much.
     pub fn record_brittle(&self, now: Moment, max_rejections: Option<u32>) {
-        if max_rejections.is_none() {
-            return;
-        }
         let mut state = self.shared.state();
-        let service = state
+        let Some(service) = state
             .fleet
             .get(self.key)
-            .map(|runner| runner.listed.service.clone());
-        let is_new = service
-            .as_ref()
-            .is_some_and(|service| !state.fleet.is_brittle(now, service));
+            .map(|runner| runner.listed.service.clone())
+        else {
+            return;
+        };
+        let was_brittle = state.fleet.is_brittle(now, &service);
+        if max_rejections.is_none() && !was_brittle {
+            return;
+        }
         state.fleet.record_brittle(now, self.key, max_rejections);
         drop(state);
-        if is_new {
+        if !was_brittle {
             tracing::warn!(event = "runners-brittle", service, max_rejections);
         }
     }
--- a/tests/suite/proxy/relay.rs
+++ b/tests/suite/proxy/relay.rs
@@ -198,8 +198,8 @@
     }
 }
 
-/// Guards against a refusal although peers reach the runners: when none is left on the own path, those that were
-/// not reached are tried through a peer.
+/// Guards against a refusal although peers reach the runners: when none is left on the own path, those
+/// that were not reached are tried through a peer.
 #[test]
 fn runners_out_of_reach_are_tried_through_a_peer() {
     let mut state = host();
@@ -249,8 +249,8 @@
     assert_eq!(direct(3_500), 100);
 }
 
-/// Guards against sound runners that are avoided by all hosts because a few hosts do not reach them: only a host
-/// that hears other runners of the service reports one.
+/// Guards against sound runners that are avoided by all hosts because a few hosts do not reach them:
+/// only a host that hears other runners of the service reports one.
 #[test]
 fn a_host_that_hears_no_runner_reports_none() {
     let mut state = host();
@@ -284,8 +284,8 @@
     Table::new(2, 2, Vec::new(), services, None, Limits::default())
 }
 
-/// Guards against requests that reach a cold runner, or one that leaves, through a peer: the peer connects only to
-/// runners that it would use itself.
+/// Guards against requests that reach a cold runner, or one that leaves, through a peer: the peer
+/// connects only to runners that it would use itself.
 #[test]
 fn a_peer_connects_to_runners_that_it_would_use() {
     let mut state = host();
@@ -337,8 +337,8 @@
     );
 }
 
-/// Guards against a second of silence that is noticed only by each request for itself: if several runners owe an
-/// answer and none of the service is heard, its path is probed.
+/// Guards against a second of silence that is noticed only by each request for itself: if several
+/// runners owe an answer and none of the service is heard, its path is probed.
 #[test]
 fn silence_of_all_runners_has_the_path_probed() {
     let mut state = host();
