Look twice before a starting host takes itself for alone

Cause: a host that found no presence at its first look, milliseconds after its start, took itself for alone, while those that started with it had not written theirs yet. It now looks again 0.35 s after its start. A host that is alone starts that much later, unless its former run is listed.

--- a/crates/core/src/proxy/start.rs
+++ b/crates/core/src/proxy/start.rs
@@ -17,6 +17,9 @@
 /// Time after its start for which a host waits for the presence of others: hosts that start together
 /// do so within a few tenths of a second.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Time after its start from which a host that finds nobody is alone, if this is no first start: hosts that
+/// start with it have written their presences by then.
+const ALONE_TIME: Duration = Duration::from_millis(350);
 /// Number of hosts in a zone up to which each reads the store, as it takes less time than asking.
 const SMALL_ZONE_HOSTS: usize = 8;
 /// Mean time between a peer's reply that it has nothing yet, and the next one asked. Such a reply
@@ -98,14 +101,17 @@
         }
         let settled_at = self.began + SETTLE_TIME;
         let is_present = hosts.iter().any(|host| host.address == me);
+        let alone_at = self.began + ALONE_TIME;
         // The presence of an earlier run at this address shows that the others are in the list too. A
         // host that finds nobody, though this is no first start, is alone.
-        let is_alone = !self.is_first && self.found_at.is_some() && hosts.is_empty();
+        let finds_nobody = !self.is_first && hosts.is_empty();
+        let is_alone = finds_nobody && self.found_at.is_some_and(|found_at| found_at.reached(alone_at));
         let has_settled =
             is_present || is_alone || self.found_at.is_some_and(|found_at| found_at.reached(settled_at));
         let find_at = match self.found_at {
             None if self.is_first => settled_at,
             None => now,
+            Some(_) if !has_settled && finds_nobody => alone_at,
             Some(_) if !has_settled => settled_at,
             Some(found_at) => found_at + FIND_INTERVAL,
         };
@@ -121,7 +127,7 @@
         match self.peer(now, me, readers, hosts) {
             Some(peer) => Step::Ask(peer),
             None if has_settled => Step::List,
-            None => Step::Wait(now.until(settled_at)),
+            None => Step::Wait(now.until(find_at)),
         }
     }
 
