Log the software versions of runners and the take-ups of streams

The logs of the incident cannot tell its hypotheses apart: no line names the software version of the runner that began a stream or of the one that goes on, a take-up looks like a new stream, and a runner that restarts under its id leaves no line.

The version of a registration is decoded into fleet::Software, which identifies service and version, with a label of bounded length. Log lines: `software` in request, stream-broken and stream-resumed; `last_event` and `first_attempt` in request; runner-restarted. Nothing is decided by them yet.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -12,9 +12,11 @@
 pub mod brittle;
 mod cold;
 mod runner;
+pub mod software;
 
 use runner::Backoff;
 pub use runner::{AttemptResult, Idle, Listed, Liveness, Load, Runner, Stage, Way};
+pub use software::Software;
 
 arena_key! {
     /// Index of a runner in the fleet.
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::super::latency::ms;
+use super::software::Software;
 use super::{brittle, cold};
 use crate::time::Moment;
 
@@ -47,6 +48,8 @@
         pub reclaimable: bool,
         /// Start time in milliseconds since the Unix epoch; 0 if unknown.
         pub started_ms: u64,
+        /// Software that it runs.
+        pub software: Software,
         /// Store version of the entry.
         pub version: u64,
         /// How long it stays cold after the entry was written; zero if it is warm.
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -32,6 +32,8 @@
     pub api_key: Option<String>,
     /// Last event of the stream that the caller has received.
     pub last_event: Option<u64>,
+    /// With `last_event`: id of the caller's attempt that brought the first event of the stream.
+    pub first_attempt: Option<String>,
     /// Tokens of the prompt; 0 for requests that are not for engines.
     pub prompt_tokens: u64,
     /// Maximum number of tokens of the answer.
--- a/crates/entry/src/proxy/discovery.rs
+++ b/crates/entry/src/proxy/discovery.rs
@@ -54,9 +54,17 @@
         let mut previous = std::mem::take(&mut self.parsed).into_iter().peekable();
         for entry in entries {
             while previous.next_if(|old| old.key < entry.key).is_some() {}
-            let unchanged = previous.next_if(|old| old.key == entry.key && old.version == entry.version);
-            changed |= unchanged.is_none();
-            parsed.push(unchanged.unwrap_or_else(|| self.parse(entry)));
+            let former = previous.next_if(|old| old.key == entry.key);
+            let current = match former {
+                Some(unchanged) if unchanged.version == entry.version => unchanged,
+                former => {
+                    changed = true;
+                    let current = self.parse(entry);
+                    log_restart(former.and_then(|former| former.listed), current.listed.as_ref());
+                    current
+                }
+            };
+            parsed.push(current);
         }
         self.parsed = parsed;
         let listed = self.parsed.iter().filter_map(|parsed| parsed.listed.clone());
@@ -111,6 +119,20 @@
     }
 }
 
+/// Logs that a runner has started again under its id, possibly with other software.
+fn log_restart(former: Option<Listed>, current: Option<&Listed>) {
+    if let (Some(former), Some(current)) = (former, current)
+        && former.started_ms != current.started_ms
+    {
+        tracing::info!(
+            event = "runner-restarted",
+            runner = current.id,
+            software = current.software.label,
+            former = former.software.label
+        );
+    }
+}
+
 fn log_unreadable(entry: &Entry, err: &anyhow::Error) {
     tracing::warn!(event = "entry-not-read", key = entry.key, revision = entry.version, reason = %format!("{err:#}"));
 }
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -104,6 +104,7 @@
                 if let Some(slot) = self.slot(&demand, &choice) {
                     log.history.record_choice(slot.key);
                     log.last_runner = Some(slot.id.clone());
+                    log.last_software = Some(slot.software.label.clone());
                     return Ok(slot);
                 }
                 Kind::NoRunner
@@ -177,7 +178,7 @@
     fn slot(&self, demand: &Demand, choice: &Choice) -> Option<Slot> {
         let state = self.shared.state();
         let listed = &state.fleet.get(choice.key)?.listed;
-        let (id, address) = (listed.id.clone(), listed.address);
+        let (id, address, software) = (listed.id.clone(), listed.address, listed.software.clone());
         let cache_source = choice.source.and_then(|key| state.fleet.get(key));
         let cache_source = cache_source.map(|runner| runner.listed.address);
         drop(state);
@@ -188,6 +189,7 @@
             shared: self.shared.clone(),
             key: choice.key,
             id,
+            software,
             address,
             way: demand.way,
             prefill_us: choice.prefill_us,
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -136,6 +136,8 @@
     pub unreached: Vec<Key>,
     /// Id of the runner chosen last.
     pub last_runner: Option<String>,
+    /// Software version of that runner.
+    pub last_software: Option<String>,
     /// Number of runners among which the last one was chosen.
     pub candidates: u32,
 }
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::proxy::fleet::{AttemptResult, Key, Way};
+use radishstair_core::proxy::fleet::{AttemptResult, Key, Software, Way};
 use radishstair_core::proxy::latency::Conditions;
 use radishstair_core::proxy::reach::Failure;
 use radishstair_core::time::Moment;
@@ -19,6 +19,8 @@
     pub key: Key,
     /// Id of the runner.
     pub id: String,
+    /// Software that the runner registered when it was chosen.
+    pub software: Software,
     /// Address of the runner.
     pub(super) address: SocketAddr,
     /// Way on which the request is sent.
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -262,6 +262,7 @@
             event = "stream-resumed",
             request = job.metadata.id,
             runner = segment.response.slot.id,
+            software = segment.response.slot.software.label,
             last = last_event
         );
         segment.response.slot.finish_resumed_prefill();
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -161,6 +161,7 @@
             event = "stream-broken",
             request = job.metadata.id,
             runner = self.response.slot.id,
+            software = self.response.slot.software.label,
             last = self.last_event
         );
         self.last_event
--- a/tests/suite/proxy/fixtures.rs
+++ b/tests/suite/proxy/fixtures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use radishstair_core::proxy::fleet::{Listed, Stage};
+use radishstair_core::proxy::fleet::{Listed, Software, Stage};
 use radishstair_core::proxy::route::{Customer, Engine, Limits, Mode, Route, Scaling, Service, Share, Table};
 use radishstair_core::proxy::{Bounds, RequestHead, State};
 use radishstair_core::time::Moment;
@@ -96,6 +96,7 @@
         slots: 32,
         reclaimable: false,
         started_ms: 1,
+        software: Software::new(service, "v1"),
         version: 1,
         cold_for: Duration::ZERO,
     }
