Let streams go on only at the software version that began them

Cause: a stream that has begun was placed like a new one. Within an answer, resumption took any runner; a caller's take-up was a new request with a number to start from. Nothing remembered which version had begun the stream. Class: a property of the runner that is part of the answer's state was not part of the request's state.

Change: Demand::version, set with the first event, is a filter before any other choice, and is checked again before bytes leave; copies of caches stay within a version. The host that gets a first event tells the version to the first host of each zone in rendezvous order; a host at which the stream is taken up asks them. A version that is not learnt is refused: not run, with a time to come back; one of which no runner is left is refused without a time. A runner that may have restarted under its id is doubted until it is heard within less time than a restart takes, or the list must show its process. New streams leave an eighth of the slots free at versions with less than half of the runners.

Why it works: a host that does not know the version sends nothing, so what is lost, late or cut off costs a stream and joins none. Found on the way: with doubts of silent runners the test of runners that all fall silent for 2.5 s failed (streams not resumed), so silence alone is doubted only while several versions serve; with the doubt ending 2.5 s after the failure, the schedule of restarts under one id failed, so it ends 2.5 s after the runner is heard again.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -112,6 +112,10 @@
     Overloaded: "overloaded", 503, NotRun, NewKey, "too much work is waiting to meet the target";
     /// No runner is available for the call.
     NoRunner: "no-runner", 503, NotRun, NewKey, "no runner can take this call now";
+    /// The software version that began the stream is not known.
+    OriginUnknown: "origin-unknown", 503, NotRun, NewKey, "the software version that began this stream is not known here yet";
+    /// No runner of the software version that began the stream is left.
+    VersionGone: "version-gone", 503, NotRun, Never, "no runner is left of the software version that began this stream; start it anew";
     /// The call could not start before its deadline.
     Late: "late", 503, NotRun, NewKey, "the call could not start before its deadline";
     /// The host is stopping.
--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -25,6 +25,7 @@
 pub mod latency;
 pub mod memory;
 pub mod mirror;
+pub mod origin;
 pub mod overload;
 pub mod partition;
 pub mod placement;
@@ -50,6 +51,7 @@
 use gossip::summary::Announced;
 use gossip::{CachedPrefix, Meter, Peers};
 use latency::{Conditions, Latency};
+use origin::Origins;
 use overload::{Level, Patience};
 use partition::Partition;
 use placement::{Choice, Demand, Inputs, Selection};
@@ -129,6 +131,8 @@
     pub relays: Relays,
     /// Runners that have each prompt prefix cached.
     pub prefixes: Index,
+    /// Software versions that began streams.
+    pub origins: Origins,
     /// Load that other hosts put on runners.
     pub peers: Peers,
     /// Latency model of each service.
@@ -164,6 +168,7 @@
             reach: Reach::default(),
             relays: Relays::default(),
             prefixes: Index::default(),
+            origins: Origins::default(),
             peers: Peers::default(),
             latencies: Services::default(),
             partitions: Services::default(),
@@ -285,6 +290,21 @@
         })
     }
 
+    /// The same admission to another service of the route; `None` if the route does not use it.
+    pub fn admission_to(&self, admission: &Admission, service: &str) -> Option<Admission> {
+        let table = self.table.as_ref()?;
+        if !admission.route.uses(service) {
+            return None;
+        }
+        let engine = table.service(service).and_then(|service| service.engine);
+        Some(Admission {
+            service: service.to_string(),
+            level: table.level(&admission.route, service),
+            copies_prefix: engine.is_some_and(|engine| engine.copies_prefix),
+            ..admission.clone()
+        })
+    }
+
     /// Checks whether an admitted request may still be forwarded; called right before the write
     /// to the runner.
     ///
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -55,6 +55,8 @@
     ids: Vec<(String, Key)>,
     hashes: Vec<(u64, Key)>,
     last_list: Option<Moment>,
+    /// Since when the list was read so often that no entry can have come and gone unseen.
+    watched_since: Option<Moment>,
     recovered_at: Option<Moment>,
     /// Zones to avoid, and until when.
     avoided_zones: Vec<(String, Moment)>,
@@ -82,6 +84,7 @@
             ids: Vec::new(),
             hashes: Vec::new(),
             last_list: None,
+            watched_since: None,
             recovered_at: None,
             avoided_zones: Vec::new(),
             zone_deadlines: Vec::new(),
@@ -110,13 +113,18 @@
     pub fn update(&mut self, sent: Moment, items: Vec<Listed>) -> Vec<SocketAddr> {
         // The first list after a start needs no such grace period: entries that expired before are
         // not in it, and an entry that is in it and later missing was removed.
-        if self.last_list.is_some_and(|last| sent.since(last) >= OUTAGE) {
+        let is_gap = |last: Moment| sent.since(last) >= OUTAGE;
+        if self.last_list.is_some_and(is_gap) {
             self.recovered_at = Some(sent);
         }
+        if self.last_list.is_none_or(is_gap) {
+            self.watched_since = Some(sent);
+        }
         self.last_list = Some(sent);
-        self.arena
-            .iter_mut()
-            .for_each(|runner| runner.cold.read_list(sent));
+        for runner in &mut self.arena {
+            runner.cold.read_list(sent);
+            runner.belief.read_list(sent);
+        }
         if let Some(gone_at) = self.missing_gone_at(sent) {
             for runner in &mut self.arena {
                 runner.gone_at = Some(runner.gone_at.map_or(gone_at, |earlier| earlier.min(gone_at)));
@@ -158,15 +166,17 @@
         let runner = &mut self.arena[key.index()];
         let is_same_process =
             runner.listed.address == item.address && runner.listed.started_ms == item.started_ms;
+        let is_same_version = runner.listed.software.version == item.software.version;
         let previous = runner.listed.address;
         runner.gone_at = None;
         if runner.listed.version != item.version || !is_same_process {
             runner.cold.read_entry(sent, item.cold_for);
         }
         runner.listed = item;
-        if is_same_process {
+        if is_same_process && is_same_version {
             return Vec::new();
         }
+        runner.belief.restart(sent, is_same_version);
         runner.replaced = false;
         runner.retry_at = Moment::default();
         runner.failures = 0;
@@ -185,6 +195,7 @@
         let at = self.hashes.partition_point(|(have, _)| *have < hash);
         self.hashes.insert(at, (hash, key));
         self.arena.push(Runner {
+            belief: software::Belief::default(),
             cold: cold::State::of_entry(first_seen, listed.cold_for),
             evacuated: self.is_evacuated(&listed.zone),
             listed,
@@ -461,12 +472,23 @@
                 self.record_rejection(now, key);
             }
             AttemptResult::Replaced => runner.replaced = true,
-            AttemptResult::Unreachable => runner.relayed.extend(now),
+            AttemptResult::Unreachable => {
+                runner.belief.doubt_unreachable(now);
+                runner.relayed.extend(now);
+            }
             AttemptResult::PathLost => {
+                runner.belief.doubt(now);
                 runner.path_lost_at = Some(now);
                 runner.relayed.extend(now);
             }
-            AttemptResult::Broken => runner.record_result(true),
+            AttemptResult::Broken => {
+                runner.belief.doubt(now);
+                runner.record_result(true);
+            }
+            AttemptResult::Silent => {
+                runner.record_result(true);
+                self.doubt_silent(now, key);
+            }
         }
     }
 
@@ -495,20 +517,33 @@
                 if result == AttemptResult::PathLost {
                     runner.path_lost_at = Some(now);
                 }
+                runner.belief.doubt_unreachable(now);
                 runner.retry_at = now + backoff(runner.failures);
                 runner.failures = (runner.failures + 1).min(5);
                 self.doubt_unreachable(now, key);
                 self.record_unreachable(now, &zone);
             }
             AttemptResult::Broken => {
-                runner.record_result(true);
-                // On some days one answer in fifty is broken; only several in a row indicate a
-                // fault of the runner.
-                runner.failures = (runner.failures + 1).min(5);
-                if runner.failures >= 3 {
-                    runner.retry_at = now + backoff(runner.failures - 3);
-                }
+                runner.belief.doubt(now);
+                runner.record_broken(now);
             }
+            AttemptResult::Silent => {
+                runner.record_broken(now);
+                self.doubt_silent(now, key);
+            }
+        }
+    }
+}
+
+impl Runner {
+    /// Counts an answer that ended early.
+    fn record_broken(&mut self, now: Moment) {
+        self.record_result(true);
+        // On some days one answer in fifty is broken; only several in a row indicate a fault of the
+        // runner.
+        self.failures = (self.failures + 1).min(5);
+        if self.failures >= 3 {
+            self.retry_at = now + backoff(self.failures - 3);
         }
     }
 }
--- a/crates/core/src/proxy/fleet/cold.rs
+++ b/crates/core/src/proxy/fleet/cold.rs
@@ -32,10 +32,10 @@
 const READ_DELAY: Duration = Duration::from_millis(300);
 /// Time after which a change of a runner's state is in the list: the time between two writes of
 /// its entry, and the delay with which a write becomes visible.
-const ENTRY_DELAY: Duration = Duration::from_millis(2_500);
+pub(super) const ENTRY_DELAY: Duration = Duration::from_millis(2_500);
 /// Time after which a runner is no longer doubted, if neither the list nor an answer has shown its
 /// state.
-const MAX_DOUBT: Duration = Duration::from_secs(10);
+pub(super) const MAX_DOUBT: Duration = Duration::from_secs(10);
 /// Time after which hosts of other zones use a runner that has become warm: the time between two
 /// reports to other zones in a large fleet.
 const REMOTE_DELAY: Duration = Duration::from_secs(3);
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::super::latency::ms;
-use super::software::Software;
+use super::software::{Belief, Software};
 use super::{brittle, cold};
 use crate::time::Moment;
 
@@ -73,6 +73,8 @@
         PathLost,
         /// The answer ended early or was malformed.
         Broken,
+        /// Nothing more of the answer came, and its connection stayed open.
+        Silent,
         /// Another instance answered at the runner's address.
         Replaced,
     }
@@ -216,6 +218,8 @@
         pub(super) last_contact: Moment,
         /// When the path to it was last found to be down.
         pub(super) path_lost_at: Option<Moment>,
+        /// Whether its entry tells the software of its process.
+        pub(super) belief: Belief,
         /// Its cold start.
         pub(super) cold: cold::State,
         /// Whether the operator has evacuated its zone.
@@ -244,7 +248,8 @@
         self.is_present(now) && self.listed.stage == Stage::Draining
     }
 
-    fn is_present(&self, now: Moment) -> bool {
+    /// Whether it is listed, or may be listed again after an outage of the store.
+    pub(super) fn is_present(&self, now: Moment) -> bool {
         self.gone_at.is_none_or(|gone_at| !now.reached(gone_at))
     }
 
--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -14,6 +14,7 @@
 use crate::id::{Incarnation, digest};
 use crate::time::Moment;
 
+pub mod datagram;
 pub mod summary;
 pub mod update;
 
--- a/crates/core/src/proxy/gossip/update.rs
+++ b/crates/core/src/proxy/gossip/update.rs
@@ -10,12 +10,10 @@
 use prost::Message;
 
 use super::Load;
+use super::datagram::{self, Kind};
 
 /// Updates that a host receives a second when all hosts of its zone are busy.
 const MAX_RECEIVED_PER_S: u32 = 300;
-/// First byte of a datagram with an update. It is no valid start of a report, so a host that does
-/// not know updates ignores the datagram.
-const MARK: u8 = 0;
 
 /// Loads of one host that have changed since its last report or update.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -43,16 +41,12 @@
 impl Update {
     /// Datagram with this update.
     pub fn to_datagram(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(1 + self.encoded_len());
-        bytes.push(MARK);
-        bytes.extend(self.encode_to_vec());
-        bytes
+        datagram::encode(Kind::Update, self)
     }
 
     /// Update in a datagram; `None` if it contains something else.
     pub fn from_datagram(bytes: &[u8]) -> Option<Self> {
-        let bytes = bytes.strip_prefix(&[MARK])?;
-        Self::decode(bytes).ok()
+        datagram::decode(Kind::Update, bytes)
     }
 
     /// Order among the updates of one run.
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -23,10 +23,13 @@
 use std::time::Duration;
 
 mod memory;
+mod room;
 mod zones;
 
+use room::Room;
 use zones::{LoadEstimate, ZoneLoads};
 
+use super::fleet::software::Version;
 use super::fleet::{Fleet, Key, Runner, Way};
 use super::latency::{Conditions, Latency, ms};
 use super::overload::Patience;
@@ -96,6 +99,8 @@
         pub at_most_once: bool,
         /// Whether its work has been counted as demand for runners, and it was not sent since.
         pub is_counted: bool,
+        /// Software version of the only runners that may run it; `None` if any may.
+        pub version: Option<Version>,
         /// Way on which it will be sent.
         pub way: Way,
         /// Random number that breaks ties.
@@ -131,6 +136,12 @@
         self.shared_segments().iter().map(prefix).collect()
     }
 
+    /// Whether a runner's software may run it.
+    fn allows(&self, now: Moment, runner: &Runner) -> bool {
+        self.version
+            .is_none_or(|version| runner.may_continue(now, version))
+    }
+
     /// Price of sending it to another zone, in milliseconds of waiting.
     fn cross_zone_cost_ms(&self) -> f64 {
         let bytes = self.bytes + self.output_tokens * BYTES_PER_TOKEN;
@@ -229,7 +240,7 @@
         Way::Direct => inputs.fleet.available(now, &demand.service).collect(),
         Way::Relayed => inputs.fleet.available_to_peers(now, &demand.service).collect(),
     };
-    eligible.retain(|(key, _)| !tried.contains(key));
+    eligible.retain(|(key, runner)| !tried.contains(key) && demand.allows(now, runner));
     let count = eligible.len() as u32;
     let eligible = inputs.fleet.with_room(now, &demand.service, eligible);
     let eligible = memory::with_room(inputs.memory, eligible, demand);
@@ -285,17 +296,19 @@
     };
     let median_slowdown = inputs.fleet.median_slowdown(now, &demand.service);
     let zones = ZoneLoads::of(&inputs.fleet.zone, eligible);
+    let room = Room::of(demand, eligible);
     let candidates = eligible.iter().map(|(key, runner)| {
         let cached_tokens = cached.cached_tokens(*key);
-        let usable_tokens = cached_tokens.max(cached.longest);
+        let usable_tokens = cached_tokens.max(cached.copyable_tokens(runner));
         let prefill = inputs.latency.prefill(demand.prompt_tokens, usable_tokens);
         let load = zones.estimate(runner);
+        let slot_wait = slot_wait(inputs, room.slots(runner), load);
         let recomputed = if selected == Some(*key) { 0 } else { shared - usable_tokens };
         let prefix_cost = COPY_FACTOR * (usable_tokens - cached_tokens) as f64 + RECOMPUTE_FACTOR * recomputed as f64;
         let cost = prefix_cost / 1e3 * inputs.latency.prefill_ms_per_1k()
             // Relative to the median, so that the common slowdown, which the latency model contains,
             // is not counted twice.
-            + waiting_ms(inputs, runner, load, prefill) * runner.slowdown / median_slowdown
+            + waiting_ms(inputs, load, prefill, slot_wait) * runner.slowdown / median_slowdown
             + partition::crossing_cost_ms(inputs.partition, is_long, runner.for_long_prompts, f64::from(load.running))
             + FAILURE_MS * runner.failure_rate
             + connection_cost_ms(now, runner, demand)
@@ -305,6 +318,7 @@
             key: *key,
             runner,
             load,
+            slot_wait,
             prefill,
             usable_tokens,
         }
@@ -317,7 +331,7 @@
             // A detour that costs others more than the request may wait is none.
             let max_cost = cheapest.cost + MAX_DETOUR * ms(patience.target);
             let is_in_time = |candidate: &&Candidate<'_>| {
-                let queued = candidate.load.backlog + slot_wait(inputs, candidate.runner, candidate.load);
+                let queued = candidate.load.backlog + candidate.slot_wait;
                 candidate.cost <= max_cost && patience.suffices(queued, candidate.prefill)
             };
             self::cheapest(candidates.iter().filter(is_in_time))
@@ -348,6 +362,8 @@
     key: Key,
     runner: &'a Runner,
     load: LoadEstimate,
+    /// Time until a slot is free for it.
+    slot_wait: Duration,
     /// Predicted prefill time.
     prefill: Duration,
     /// Tokens of the prompt that are cached or can be copied.
@@ -363,16 +379,15 @@
 
 /// Delay of a request and of the others on a runner, in milliseconds, not counting the
 /// runner's slowdown.
-fn waiting_ms(inputs: Inputs<'_>, runner: &Runner, load: LoadEstimate, prefill: Duration) -> f64 {
+fn waiting_ms(inputs: Inputs<'_>, load: LoadEstimate, prefill: Duration, slot_wait: Duration) -> f64 {
     let concurrent = f64::from(load.running);
-    ms(load.backlog + prefill + slot_wait(inputs, runner, load))
-        + (CONTENTION_MS + inputs.latency.contention_ms()) * concurrent
+    ms(load.backlog + prefill + slot_wait) + (CONTENTION_MS + inputs.latency.contention_ms()) * concurrent
 }
 
-/// Time until a slot of a runner is free for one more request.
-fn slot_wait(inputs: Inputs<'_>, runner: &Runner, load: LoadEstimate) -> Duration {
-    let excess = (load.running + 1).saturating_sub(runner.listed.slots);
-    inputs.latency.residence() * excess / runner.listed.slots.max(1)
+/// Time until one of a runner's slots is free for one more request.
+fn slot_wait(inputs: Inputs<'_>, slots: u32, load: LoadEstimate) -> Duration {
+    let excess = (load.running + 1).saturating_sub(slots);
+    inputs.latency.residence() * excess / slots.max(1)
 }
 
 /// Cost of reaching a runner's zone, in milliseconds.
@@ -395,8 +410,8 @@
     runners: Vec<(Key, u64)>,
     /// Longest prefix that can be copied, in tokens.
     longest: u64,
-    /// Runners that certainly have that prefix cached, most recently used last.
-    sources: Vec<Key>,
+    /// Runners that certainly have that prefix cached, with their versions, most recently used last.
+    sources: Vec<(Key, Version)>,
 }
 
 impl CachedPrefixes {
@@ -421,13 +436,24 @@
                 let done = here
                     .iter()
                     .filter(|holder| now.since(holder.since) >= cached_after(inputs.latency, tokens));
-                cached.sources = done.map(|holder| holder.key).collect();
+                let source = |holder: &&Holder| {
+                    Some((holder.key, inputs.fleet.get(holder.key)?.listed.software.version))
+                };
+                cached.sources = done.filter_map(source).collect();
                 cached.longest = if cached.sources.is_empty() { 0 } else { tokens };
             }
         }
         cached
     }
 
+    /// Length of the prefix that a runner can copy, in tokens. Caches are taken to fit runners of the same
+    /// version only.
+    fn copyable_tokens(&self, runner: &Runner) -> u64 {
+        let version = runner.listed.software.version;
+        let has_source = self.sources.iter().any(|(_, of_source)| *of_source == version);
+        if has_source { self.longest } else { 0 }
+    }
+
     /// Whether any runner has all of it cached or is prefilling it now.
     fn has_all(&self, shared: u64) -> bool {
         self.runners.iter().any(|(_, tokens)| *tokens == shared)
@@ -441,7 +467,9 @@
     fn source_for(&self, inputs: Inputs<'_>, now: Moment, key: Key) -> Option<Key> {
         let zone = |key: Key| inputs.fleet.get(key).map(|runner| runner.listed.zone.as_str());
         let own = zone(key)?;
-        let others = self.sources.iter().rev().copied().filter(|source| *source != key);
+        let version = inputs.fleet.get(key)?.listed.software.version;
+        let fits = |(source, of_source): &&(Key, Version)| *source != key && *of_source == version;
+        let others = self.sources.iter().rev().filter(fits).map(|(source, _)| *source);
         if let Some(same_zone) = others.clone().find(|source| zone(*source) == Some(own)) {
             return Some(same_zone);
         }
--- a/crates/core/src/proxy/reach.rs
+++ b/crates/core/src/proxy/reach.rs
@@ -477,6 +477,7 @@
 
     /// Records that a runner has accepted a new connection of this host.
     pub fn record_connection(&mut self, now: Moment, key: Key) -> Option<Change> {
+        self.fleet.hear(now, key);
         let service = &self.fleet.get(key)?.listed.service;
         self.reach.record_connection(now, service)
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,7 +42,7 @@
 /// Labels of datagrams between hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DatagramLabels {
-    /// `report`, `record`, `summary`, `update` or `hint`.
+    /// `report`, `record`, `summary`, `update`, `hint` or `origin`.
     pub kind: &'static str,
     /// `sent` or `received`.
     pub direction: &'static str,
@@ -55,6 +55,14 @@
     pub outcome: &'static str,
 }
 
+/// Label of streams that callers take up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TakeUpLabel {
+    /// How the software version that began the stream was learnt: `own`, `peer`, `only`, or `none` if it was
+    /// not.
+    pub source: &'static str,
+}
+
 /// Label of metrics by call to the platform or to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabel {
@@ -95,6 +103,10 @@
     pub relay_requests: Family<ConnectionLabel, Counter>,
     /// Services to which this host has lost the path.
     pub lost_services: Gauge,
+    /// Streams that callers have taken up here.
+    pub take_ups: Family<TakeUpLabel, Counter>,
+    /// Streams of which this host remembers the version that began them.
+    pub known_origins: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<PlatformCallLabels, Counter>,
     /// Bytes of the answers to calls to the platform and to peers.
@@ -138,6 +150,8 @@
             relayed_connections: Gauge::default(),
             relay_requests: Family::default(),
             lost_services: Gauge::default(),
+            take_ups: Family::default(),
+            known_origins: Gauge::default(),
             platform_calls: Family::default(),
             response_bytes: Family::default(),
             call_duration: Family::new_with_constructor(latency_histogram),
@@ -210,6 +224,16 @@
             "Services to which the path is lost",
             self.lost_services.clone(),
         );
+        registry.register(
+            "take_ups",
+            "Streams that callers have taken up, by how the version that began them was learnt",
+            self.take_ups.clone(),
+        );
+        registry.register(
+            "known_origins",
+            "Streams of which the version that began them is remembered",
+            self.known_origins.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
@@ -327,6 +351,11 @@
         self.relays.get_or_create(&ConnectionLabel { outcome }).inc();
     }
 
+    /// Counts a stream that a caller has taken up.
+    pub fn count_take_up(&self, source: &'static str) {
+        self.take_ups.get_or_create(&TakeUpLabel { source }).inc();
+    }
+
     /// Counts a connection asked for at a peer.
     pub fn count_relay_request(&self, outcome: &'static str) {
         self.relay_requests
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -50,6 +50,7 @@
 pub mod gossip;
 pub mod held;
 pub mod job;
+mod origins;
 pub mod packing;
 pub mod paths;
 pub mod records;
@@ -121,6 +122,10 @@
     path_suspected: Notify,
     /// Notified when a request has left its runner.
     slot_released: Notify,
+    /// Notified when other hosts have to be told or asked which versions began streams.
+    origins_pending: Notify,
+    /// Notified when another host has told such versions.
+    origin_told: Notify,
     /// Secret of this run, shown to peers that relay connections.
     secret: Secret,
     /// Runs of hosts and the hashes of their secrets, as published; sorted by run.
@@ -179,6 +184,8 @@
             load_changed: Notify::new(),
             path_suspected: Notify::new(),
             slot_released: Notify::new(),
+            origins_pending: Notify::new(),
+            origin_told: Notify::new(),
             secret: Secret::new(rand::random()),
             published_hashes: Mutex::default(),
             relayed: relay::Relayed::default(),
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -21,7 +21,7 @@
 use super::forward::Forwarder;
 use super::job::{AttemptLog, Job, request_head};
 use super::reply::{self, Body, retry_after};
-use super::{Shared, body};
+use super::{Shared, body, origins};
 use crate::in_flight::InFlightGuard;
 use crate::serve;
 
@@ -149,12 +149,17 @@
 /// Forwards an admitted request, and records its metrics and log line.
 async fn forward(
     forwarder: Arc<Forwarder>,
-    job: Job,
+    mut job: Job,
     flight: InFlightGuard,
 ) -> Result<Response<Body>, Refusal> {
     let shared = forwarder.shared.clone();
-    let job = Arc::new(job);
     let mut log = AttemptLog::default();
+    if origins::is_take_up(&job) {
+        log.origin = origins::find(&shared, &mut job)
+            .await
+            .map_err(|refusal| log_refusal(&shared, Some(&job.metadata), refusal))?;
+    }
+    let job = Arc::new(job);
     let result = match job.is_stream() {
         true => {
             forwarder
--- a/crates/entry/src/proxy/admin.rs
+++ b/crates/entry/src/proxy/admin.rs
@@ -72,6 +72,8 @@
             shared.metrics.keys_trusted.set(i64::from(trusted));
             let lost_services = shared.state().reach.lost_services();
             shared.metrics.lost_services.set(lost_services as i64);
+            let known_origins = shared.state().origins.len();
+            shared.metrics.known_origins.set(known_origins as i64);
             shared
                 .metrics
                 .relayed_connections
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -16,8 +16,9 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
-use radishstair_core::error::{Kind, Refusal};
-use radishstair_core::proxy::fleet::{AttemptResult, Way};
+use radishstair_core::error::{Kind, Refusal, Repeat};
+use radishstair_core::proxy::fleet::{AttemptResult, Runner, Way};
+use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::placement::{Choice, Demand};
 use radishstair_core::proxy::relay::Tried;
 use radishstair_core::proxy::{Placement, State};
@@ -78,11 +79,9 @@
         if job.is_expired(now) {
             return Err(self.deadline_refusal(job, log));
         }
-        // A request that may have run is not refused for being late.
-        let patience = match log.history.may_have_run() {
-            true => None,
-            false => job.patience(now),
-        };
+        // Neither a request that may have run nor a stream that has begun is refused for being late.
+        let has_begun = log.history.may_have_run() || log.origin != Origin::New;
+        let patience = if has_begun { None } else { job.patience(now) };
         let service = &job.admission.service;
         let mut demand = job.demand(log, self.way(now, service), rand::random());
         let placement = {
@@ -115,12 +114,21 @@
             }
             Placement::NoRunner => {
                 log.candidates = 0;
-                Kind::NoRunner
+                self.missing_runner(now, log)
             }
         };
         Err(self.refusal(job, log, kind))
     }
 
+    /// Why there is no runner for a request.
+    fn missing_runner(&self, now: Moment, log: &AttemptLog) -> Kind {
+        let is_left = |version| self.shared.state().fleet.is_version_left(now, version);
+        match log.origin.version() {
+            Some(version) if !is_left(version) => Kind::VersionGone,
+            _ => Kind::NoRunner,
+        }
+    }
+
     /// Reserves a slot as [`reserve_slot`](Self::reserve_slot) does. If the service's runners are brittle and
     /// have no room, waits a short time until a request has left one of them.
     ///
@@ -288,7 +296,7 @@
                 false => self.with_retry_after(job, refusal),
             }));
         }
-        match self.is_listed(now, slot) {
+        match self.is_usable(now, slot, log.origin) {
             true => Ok(()),
             false => Err(AttemptError::Failed(Fault::Unreachable)),
         }
@@ -394,12 +402,14 @@
         self.shared.state().fleet.set_idle(slot.key, idle);
     }
 
-    fn is_listed(&self, now: Moment, slot: &Slot) -> bool {
+    /// Whether a runner is listed, and has the version that began the stream.
+    fn is_usable(&self, now: Moment, slot: &Slot, origin: Origin) -> bool {
         let state = self.shared.state();
-        state
-            .fleet
-            .get(slot.key)
-            .is_some_and(|runner| runner.is_listed(now))
+        let is_usable = |runner: &Runner| {
+            let fits = |version| runner.known_version() == Some(version);
+            runner.is_listed(now) && origin.version().is_none_or(fits)
+        };
+        state.fleet.get(slot.key).is_some_and(is_usable)
     }
 
     fn build_request(&self, now: Moment, job: &Job, after: Option<u64>, slot: &Slot) -> Request<Full<Bytes>> {
@@ -444,6 +454,9 @@
 
     /// Adds the time after which the caller may retry.
     fn with_retry_after(&self, job: &Job, refusal: Refusal) -> Refusal {
+        if refusal.repeat == Repeat::Never {
+            return refusal;
+        }
         let time_left = job.time_left(self.shared.now());
         refusal.retry_after(retry_after(time_left, rand::random()))
     }
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -12,12 +12,13 @@
 use radishstair_core::proxy::fleet::brittle::Place;
 use radishstair_core::proxy::gossip::update::{self, Update};
 use radishstair_core::proxy::gossip::{self, CachedPrefix, Packet, summary};
+use radishstair_core::proxy::origin;
 use radishstair_core::proxy::reach::Report;
 use radishstair_core::proxy::readers::{self, Host};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-use super::{ASSUMED_HOSTS, Shared, document};
+use super::{ASSUMED_HOSTS, Shared, document, origins};
 
 /// Maximum size of a datagram; the loads of 1,500 runners fit.
 const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
@@ -28,6 +29,7 @@
 const SUMMARY: &str = "summary";
 const UPDATE: &str = "update";
 const HINT: &str = "hint";
+pub(super) const ORIGIN: &str = "origin";
 
 /// Maximum number of cached prefixes kept until the next packet to other zones. Further
 /// ones are dropped, and sent when they are used again.
@@ -41,6 +43,7 @@
     let socket = Arc::new(socket);
     tokio::spawn(receive(shared.clone(), socket.clone()));
     tokio::spawn(send_summaries(shared.clone(), socket.clone()));
+    tokio::spawn(origins::send(shared.clone(), socket.clone()));
     let mut sender = Sender {
         shared: shared.clone(),
         socket: socket.clone(),
@@ -394,6 +397,14 @@
             shared.metrics.count_datagrams(UPDATE, "received", 1, length);
             let now = shared.now();
             shared.state().receive_update(now, update);
+        } else if let Some(message) = origin::Message::from_datagram(&bytes[..length]) {
+            shared.metrics.count_datagrams(ORIGIN, "received", 1, length);
+            if let Some(answer) = origins::receive(&shared, &message) {
+                let answer = answer.to_datagram();
+                // The host that asks does so again if the answer is lost.
+                let _ = socket.send_to(&answer, peer).await;
+                shared.metrics.count_datagrams(ORIGIN, "sent", 1, answer.len());
+            }
         } else if let Ok(packet) = Packet::decode(&bytes[..length]) {
             shared
                 .metrics
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -6,6 +6,7 @@
 use hyper::header::HOST;
 use hyper::http::request;
 use radishstair_core::proxy::fleet::{Key, Way};
+use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::overload::Patience;
 use radishstair_core::proxy::placement::Demand;
 use radishstair_core::proxy::route::Mode;
@@ -101,6 +102,7 @@
             copies_prefix: self.admission.copies_prefix,
             at_most_once: self.is_at_most_once(),
             is_counted: log.is_counted(),
+            version: log.origin.version(),
             way,
             random,
         }
@@ -130,6 +132,8 @@
 pub struct AttemptLog {
     /// Runners tried, and whether the request may have run.
     pub history: retry::History<Key>,
+    /// Version that began the stream.
+    pub origin: Origin,
     /// Number of times that the request was counted as demand for runners.
     pub counted: u32,
     /// Runners that could not be reached directly.
--- /dev/null
+++ b/crates/entry/src/proxy/origins.rs
@@ -0,0 +1,196 @@
+//! The software versions that began streams: told to other hosts, and asked of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::proxy::fleet::software::Version;
+use radishstair_core::proxy::origin::{self, Message, Origin, StreamKey};
+use radishstair_core::proxy::route::Mode;
+use radishstair_core::time::Moment;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, timeout_at};
+
+use super::Shared;
+use super::gossip::ORIGIN;
+use super::job::Job;
+use super::reply::retry_after;
+use super::slot::Slot;
+
+/// Longest search for the version of a stream, and the share of the caller's time left that it may take. It
+/// covers several questions, and a read of the list of runners.
+const MAX_SEARCH: Duration = Duration::from_millis(900);
+const MAX_SEARCH_SHARE: f64 = 0.2;
+/// Time after which the other hosts are asked again, as datagrams may be lost.
+const ASK_INTERVAL: Duration = Duration::from_millis(80);
+
+/// How the version of a stream that a caller takes up was learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// This host remembers it.
+    Own,
+    /// Another host has answered.
+    Peer,
+    /// The service had no other version while the stream can have begun.
+    Only,
+    /// It was not learnt.
+    None,
+}
+
+impl Source {
+    /// Name in log lines and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Source::Own => "own",
+            Source::Peer => "peer",
+            Source::Only => "only",
+            Source::None => "none",
+        }
+    }
+}
+
+/// Sends the pending messages to the other hosts, until the process ends.
+pub(super) async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    loop {
+        shared.origins_pending.notified().await;
+        let (own, hosts) = (shared.own_host().address, shared.hosts());
+        let messages = shared.state().origins.take_messages(own, &hosts);
+        for (peer, message) in messages {
+            let bytes = message.to_datagram();
+            // A lost message is made up for by those to the other hosts.
+            let _ = socket.send_to(&bytes, peer).await;
+            shared.metrics.count_datagrams(ORIGIN, "sent", 1, bytes.len());
+        }
+    }
+}
+
+/// Applies a message from another host; returns the answer to it, if there is one.
+pub(super) fn receive(shared: &Shared, message: &Message) -> Option<Message> {
+    let now = shared.now();
+    let answer = shared.state().origins.receive(now, message);
+    if !message.told.is_empty() {
+        shared.origin_told.notify_waiters();
+    }
+    (!answer.is_empty()).then_some(answer)
+}
+
+/// Whether a request takes up a stream that another attempt has begun.
+pub(super) fn is_take_up(job: &Job) -> bool {
+    is_resumable(job) && job.metadata.last_event.is_some()
+}
+
+fn is_resumable(job: &Job) -> bool {
+    job.admission.route.mode == Mode::Stream { resumable: true }
+}
+
+/// Decides and publishes the version of a stream whose first event has come from this runner.
+pub(super) fn begin(shared: &Shared, job: &Job, slot: &Slot) -> Origin {
+    if !is_resumable(job) {
+        return Origin::Unknown;
+    }
+    let now = shared.now();
+    let mut state = shared.state();
+    let runner = state.fleet.get(slot.key);
+    let version = runner.and_then(|runner| runner.known_version());
+    let Some(version) = version.filter(|version| *version == slot.software.version) else {
+        return Origin::Unknown;
+    };
+    let life = origin::life(job.admission.route.timeout);
+    state
+        .origins
+        .begin(now, stream_key(job, &job.metadata.id), version, life);
+    drop(state);
+    shared.origins_pending.notify_one();
+    Origin::Version(version)
+}
+
+/// Finds the version of the stream that a request takes up, and moves the request to the service of that
+/// version if its route is split over several.
+///
+/// # Errors
+///
+/// The refusal for the caller, if the version is not learnt or the route no longer uses its service.
+pub(super) async fn find(shared: &Shared, job: &mut Job) -> Result<Origin, Refusal> {
+    let (version, source) = search(shared, job).await;
+    shared.metrics.count_take_up(source.name());
+    let now = shared.now();
+    let state = shared.state();
+    let software = version.and_then(|version| state.fleet.software(version));
+    tracing::info!(
+        event = "stream-taken-up",
+        request = job.metadata.id,
+        first_attempt = job.metadata.first_attempt,
+        source = source.name(),
+        software = software.map(|(_, label)| label),
+        after_ms = now.since(job.arrived).as_millis() as u64
+    );
+    let Some(version) = version else {
+        let refusal = Refusal::new(Kind::OriginUnknown);
+        return Err(refusal.retry_after(retry_after(job.time_left(now), rand::random())));
+    };
+    let Some((service, _)) = software else {
+        return Err(Kind::VersionGone.into());
+    };
+    if *service != *job.admission.service {
+        job.admission = state
+            .admission_to(&job.admission, service)
+            .ok_or(Kind::VersionGone)?;
+    }
+    Ok(Origin::Version(version))
+}
+
+/// Version of the stream that a request takes up, and how it was learnt.
+async fn search(shared: &Shared, job: &Job) -> (Option<Version>, Source) {
+    let now = shared.now();
+    let Some(attempt) = &job.metadata.first_attempt else {
+        let version = shared.state().fleet.only_version(now, &job.admission.service);
+        return (version, version.map_or(Source::None, |_| Source::Only));
+    };
+    let stream = stream_key(job, attempt);
+    let remembered = shared.state().origins.find(now, stream);
+    if remembered.is_some() {
+        return (remembered, Source::Own);
+    }
+    let time_left = job.time_left(now).unwrap_or(MAX_SEARCH);
+    let search_until = Instant::now() + MAX_SEARCH.min(time_left.mul_f64(MAX_SEARCH_SHARE));
+    while Instant::now() < search_until {
+        let told = shared.origin_told.notified();
+        tokio::pin!(told);
+        // Registered before the question, so that no answer is missed in between.
+        told.as_mut().enable();
+        shared.state().origins.ask(stream);
+        shared.origins_pending.notify_one();
+        let ask_again_at = search_until.min(Instant::now() + ASK_INTERVAL);
+        while timeout_at(ask_again_at, told.as_mut()).await.is_ok() {
+            if let Some(version) = shared.state().origins.find(shared.now(), stream) {
+                return (Some(version), Source::Peer);
+            }
+            told.set(shared.origin_told.notified());
+            told.as_mut().enable();
+        }
+        let only = only_version(shared, shared.now(), job);
+        if only.is_some() {
+            return (only, Source::Only);
+        }
+    }
+    (None, Source::None)
+}
+
+/// The only version that can have begun the stream, if there is just one.
+fn only_version(shared: &Shared, now: Moment, job: &Job) -> Option<Version> {
+    let since = now.saturating_sub(origin::life(job.admission.route.timeout));
+    let state = shared.state();
+    // A split route may have begun it at any of its services.
+    let is_split = job.admission.route.shares.len() > 1;
+    let service = &job.admission.service;
+    let only = || state.fleet.only_version_between(since, job.arrived, service);
+    if is_split { None } else { only() }
+}
+
+fn stream_key(job: &Job, attempt: &str) -> StreamKey {
+    StreamKey::new(
+        job.admission.customer.as_deref(),
+        &job.admission.route.name,
+        attempt,
+    )
+}
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -65,6 +65,7 @@
     pub fn record_event(&self, now: Moment, pause: Duration) {
         let mut state = self.shared.state();
         state.record_event(self.key, pause);
+        state.fleet.hear(now, self.key);
         if self.way == Way::Direct {
             state.record_heard(now, self.key);
         }
@@ -74,6 +75,7 @@
     pub fn record_response(&self, now: Moment) {
         let mut state = self.shared.state();
         state.fleet.record_contact(now, self.key);
+        state.fleet.hear(now, self.key);
         if self.way == Way::Direct {
             state.record_heard(now, self.key);
         }
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -12,11 +12,13 @@
 use hyper::Response;
 use hyper::body::Frame;
 use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::proxy::origin::Origin;
 use radishstair_core::retry::Fault;
 
 use super::events::Events;
 use super::forward::{AttemptError, Forwarder};
 use super::job::{AttemptLog, Job};
+use super::origins;
 use super::reply::{self, Body, Truncated};
 use super::slot::Slot;
 use crate::in_flight::InFlightGuard;
@@ -97,8 +99,8 @@
         match segment.next(self.job, &self.forwarder.shared).await {
             Progress::Events(events) => Ok(StartOutcome::Stream(Box::new(segment), events)),
             Progress::Complete => Ok(StartOutcome::Stream(Box::new(segment), Events::default())),
-            Progress::Broken => {
-                segment.abandon(self.job);
+            progress @ (Progress::Broken | Progress::Silent) => {
+                segment.abandon(self.job, progress.attempt_result());
                 Err(AttemptError::Failed(Fault::MayHaveRun))
             }
             Progress::TimedOut => Err(AttemptError::Final(Kind::UpstreamTimeout.into())),
@@ -168,6 +170,9 @@
             StartOutcome::Failure(reply) => return Ok(reply),
         };
         self.record_start(&job, &mut segment);
+        if log.origin == Origin::New && !events.ids.is_empty() {
+            log.origin = origins::begin(&self.shared, &job, &segment.response.slot);
+        }
         let parts = segment.response.parts.clone();
         let end_log = EndLog {
             forwarder: self.clone(),
@@ -222,8 +227,8 @@
                         segment.finish(&self);
                         return;
                     }
-                    Progress::Broken => {
-                        let last_event = segment.abandon(&job);
+                    progress @ (Progress::Broken | Progress::Silent) => {
+                        let last_event = segment.abandon(&job, progress.attempt_result());
                         match self.resume(&job, last_event, &mut log).await {
                             Some(next) => segment = next,
                             None => {
@@ -248,6 +253,14 @@
     /// Resumes the stream on another runner; `None` if it cannot be resumed.
     async fn resume(&self, job: &Job, last_event: Option<u64>, log: &mut AttemptLog) -> Option<Segment> {
         let last_event = last_event?;
+        if log.origin == Origin::Unknown && !job.is_at_most_once() {
+            tracing::info!(
+                event = "not-resumed",
+                request = job.metadata.id,
+                reason = "version-unknown"
+            );
+            return None;
+        }
         if self.record_failure(job, log, Fault::MayHaveRun).is_some() {
             return None;
         }
@@ -257,7 +270,14 @@
             log,
             last_event,
         };
-        let mut segment = attempts::run(&mut resume).await.ok()?;
+        let mut segment = match attempts::run(&mut resume).await {
+            Ok(segment) => segment,
+            Err(refusal) => {
+                let reason = refusal.kind.name();
+                tracing::info!(event = "not-resumed", request = job.metadata.id, reason);
+                return None;
+            }
+        };
         tracing::info!(
             event = "stream-resumed",
             request = job.metadata.id,
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -40,12 +40,26 @@
     Events(Events),
     /// The stream has ended and is complete.
     Complete,
-    /// The runner broke off, or was silent for too long.
+    /// The runner broke off.
     Broken,
+    /// The runner was silent for too long.
+    Silent,
     /// The deadline has passed.
     TimedOut,
 }
 
+impl Progress {
+    /// Result of the attempt, if the segment has not ended in order.
+    pub fn attempt_result(&self) -> AttemptResult {
+        match self {
+            Progress::Silent => AttemptResult::Silent,
+            Progress::Events(_) | Progress::Complete | Progress::Broken | Progress::TimedOut => {
+                AttemptResult::Broken
+            }
+        }
+    }
+}
+
 impl Segment {
     /// Creates a segment from a response; `last_event` is the event after which it resumes.
     pub fn new(response: RunnerResponse, last_event: Option<u64>) -> Self {
@@ -77,7 +91,7 @@
                 Ok(progress) => return progress,
                 Err(_) if silence_limit >= time_left => return Progress::TimedOut,
                 Err(_) if shared.is_stopping() => {}
-                Err(_) => return Progress::Broken,
+                Err(_) => return Progress::Silent,
             }
         }
     }
@@ -151,12 +165,12 @@
         self.last_arrival = Some(now);
     }
 
-    /// Closes a broken segment; returns the event after which the next one resumes.
+    /// Closes a broken or silent segment; returns the event after which the next one resumes.
     ///
     /// Dropping the segment closes its connection, so that two runners never work on one
     /// stream.
-    pub fn abandon(self, job: &Job) -> Option<u64> {
-        self.response.slot.record_attempt(AttemptResult::Broken);
+    pub fn abandon(self, job: &Job, result: AttemptResult) -> Option<u64> {
+        self.response.slot.record_attempt(result);
         tracing::info!(
             event = "stream-broken",
             request = job.metadata.id,
