Ask a peer whose data was a moment too old again soon

What callers saw: 503 stale-configuration for requests with a key, at a host that the store turns away while both of its peers are sound.

Both logs show the same: the host, which reads the store itself, asks a peer 0.5 s after it last did, before the peer's next round; the peer's data is no newer and 1.2 s old, where 1.15 s is allowed; the other peer's is 1.4 s old. Each was then left alone for 2 s like a peer that does not answer, so nobody was asked, and the proof of the configuration passed 3 s.

Change: a peer that answers with data that is too old is asked again after 0.3 s. One that does not answer is still left alone for 2 s.

The new test asks a peer in the next round; with the former pause it finds none.

--- a/crates/core/src/proxy/readers.rs
+++ b/crates/core/src/proxy/readers.rs
@@ -26,6 +26,9 @@
 const HOSTS_PER_READER: usize = 24;
 /// Time for which a host that could not help is not asked again.
 const UNRESPONSIVE_PAUSE: Duration = Duration::from_secs(2);
+/// Time for which a host whose data was too old is not asked again. It is due to read newer data at any
+/// moment.
+const OUTDATED_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum age, beyond a round of the readers, of a peer's data that is no newer than the data
 /// known before.
 const SAME_AGE_MARGIN: Duration = Duration::from_millis(150);
@@ -176,8 +179,17 @@
 
     /// Pauses a host that did not answer or had nothing newer.
     pub fn mark_unresponsive(&mut self, now: Moment, host: SocketAddr) {
+        self.pause(host, now + UNRESPONSIVE_PAUSE);
+    }
+
+    /// Pauses a host that has answered with data that is too old.
+    pub fn mark_outdated(&mut self, now: Moment, host: SocketAddr) {
+        self.pause(host, now + OUTDATED_PAUSE);
+    }
+
+    fn pause(&mut self, host: SocketAddr, until: Moment) {
         self.paused.retain(|(have, _)| *have != host);
-        self.paused.push((host, now + UNRESPONSIVE_PAUSE));
+        self.paused.push((host, until));
     }
 
     /// Host of `candidates` for this host by rendezvous hashing, in its own zone if there is one.
--- a/crates/entry/src/proxy/sync.rs
+++ b/crates/entry/src/proxy/sync.rs
@@ -276,11 +276,14 @@
             .metrics
             .count_platform_call("peer", if helped { "ok" } else { "refused" });
         if !helped {
-            if let Some(as_of) = received {
-                let age_ms = now.since(as_of).as_millis() as u64;
-                tracing::info!(event = "peer-not-fresh", %peer, age_ms, newer = usage == Use::Newer);
+            match received {
+                Some(as_of) => {
+                    let age_ms = now.since(as_of).as_millis() as u64;
+                    tracing::info!(event = "peer-not-fresh", %peer, age_ms, newer = usage == Use::Newer);
+                    self.readers.mark_outdated(now, peer);
+                }
+                None => self.readers.mark_unresponsive(now, peer),
             }
-            self.readers.mark_unresponsive(self.shared.now(), peer);
         }
         helped
     }
--- a/tests/suite/proxy/readers.rs
+++ b/tests/suite/proxy/readers.rs
@@ -93,6 +93,25 @@
     assert_eq!(asked.len(), 3, "all other hosts");
 }
 
+/// Guards against a host that refuses keyed requests though its peers are sound: the store turned it away, the
+/// data of both peers was a moment too old, and it asked nobody for two seconds.
+#[test]
+fn a_peer_with_old_data_is_asked_again_soon() {
+    let all = hosts(3);
+    let reads = |host: &&Host| first(**host, &all) == Source::Store;
+    let me = all.iter().find(reads).expect("a reader").address;
+    let mut choice = Readers::default();
+    let now = Moment::at_ms(1_000);
+    while let Some(peer) = choice.fallback(now, me, &all) {
+        choice.mark_outdated(now, peer);
+    }
+    let next_round = now + ROUND_INTERVAL;
+    let peer = choice.fallback(next_round, me, &all).expect("a peer to ask");
+    choice.mark_unresponsive(next_round, peer);
+    let later = next_round + ROUND_INTERVAL;
+    assert_ne!(choice.fallback(later, me, &all), Some(peer), "it did not answer");
+}
+
 /// Guards against requests to a runner that left more than two seconds ago. The host's peer lost
 /// the store just before the runner left and keeps answering with old data. Its answers are
 /// accepted up to the age that a reader's data can have, and beyond a round only if they are
