Run split views of a thousand hosts, and random deployments, against brittle runners

The test now covers all sizes, and a quickcheck draws hosts, runners, tolerance (1 to 20), load (0.5 to 3.4 times the capacity) and seed. More hosts than half of all slots stay outside by construction, as docs/design/limits.md says.

--- a/tests/suite/proxy/brittle.rs
+++ b/tests/suite/proxy/brittle.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use quickcheck::quickcheck;
 use radishstair_core::id::Incarnation;
 use radishstair_core::proxy::State;
 use radishstair_core::proxy::fleet::brittle::Place;
@@ -228,15 +229,13 @@
 /// of itself.
 #[test]
 fn brittle_runners_bear_hosts_that_do_not_know_of_each_other() {
-    for deployment in deployments()
-        .into_iter()
-        .filter(|deployment| deployment.hosts < 100)
-    {
+    for deployment in deployments() {
         let split = Deployment {
             known_hosts: deployment.hosts / 2,
             ..deployment
         };
-        let outcome = play(split, 11, 5_000);
+        let length_ms = if deployment.hosts > 100 { 1_500 } else { 5_000 };
+        let outcome = play(split, 11, length_ms);
         let label = (deployment.hosts, deployment.runners, deployment.max_rejections);
         assert_eq!(outcome.falls, 0, "{label:?}: {outcome:?}");
     }
@@ -342,3 +341,21 @@
         }
     }
 }
+
+quickcheck! {
+    /// Whatever the numbers of hosts and runners, the load and the tolerance, brittle runners do not fall while
+    /// all hosts know each other and have room for one request each.
+    fn brittle_runners_do_not_fall(seed: u64, hosts: u8, runners: u8, max_rejections: u8, load: u8) -> bool {
+        let runners = 2 + usize::from(runners % 20);
+        let hosts = 1 + usize::from(hosts) % (runners * SLOTS as usize / 2);
+        let deployment = Deployment {
+            hosts,
+            runners,
+            max_rejections: 1 + u32::from(max_rejections % 20),
+            load: 0.5 + f64::from(load % 30) / 10.0,
+            known_hosts: hosts,
+            is_told: true,
+        };
+        play(deployment, seed, 1_200).falls == 0
+    }
+}
