Let the most urgent request go first when brittle runners have room again

What callers saw: with no room at runners that crash when they reject too much, requests wait at the host for a moment. All of them tried when a request left its runner, so the room went to those that happened to be polled first, mostly less urgent ones that had come before.

Change: the waiting requests of a host are sorted by service, rank and arrival; only the first of a service may try, and one that arrives does not overtake an equal. A request that stops waiting lets the next one try.

Without brittle runners nothing waits, and the path of a request takes one more lock of an empty list.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -41,6 +41,7 @@
 pub mod services;
 pub mod start;
 pub mod usage;
+pub mod waiting;
 
 pub use bounds::Bounds;
 pub use placement::Placement;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -23,6 +23,7 @@
 use radishstair_core::proxy::readers::{self, Host};
 use radishstair_core::proxy::relay::{Secret, is_secret};
 use radishstair_core::proxy::usage::Record;
+use radishstair_core::proxy::waiting::Waiting;
 use radishstair_core::time::Moment;
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, Semaphore};
@@ -122,6 +123,8 @@
     path_suspected: Notify,
     /// Notified when a request has left its runner.
     slot_released: Notify,
+    /// Requests that wait for such a moment, as all runners were full.
+    waiting: Mutex<Waiting>,
     /// Notified when other hosts have to be told or asked which versions began streams.
     origins_pending: Notify,
     /// Notified when another host has told such versions.
@@ -184,6 +187,7 @@
             load_changed: Notify::new(),
             path_suspected: Notify::new(),
             slot_released: Notify::new(),
+            waiting: Mutex::default(),
             origins_pending: Notify::new(),
             origin_told: Notify::new(),
             secret: Secret::new(rand::random()),
@@ -334,6 +338,13 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Locks the requests that wait for room, under the same rule as [`state`](Self::state).
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     /// Locks the operator's document, under the same rule as [`state`](Self::state).
     fn document(&self) -> MutexGuard<'_, Document> {
         self.document
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -21,6 +21,7 @@
 use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::placement::{Choice, Demand};
 use radishstair_core::proxy::relay::Tried;
+use radishstair_core::proxy::waiting::Ticket;
 use radishstair_core::proxy::{Placement, State};
 use radishstair_core::retry::Fault;
 use radishstair_core::time::Moment;
@@ -68,6 +69,31 @@
     pub pool: Arc<Pool>,
 }
 
+/// A request that waits for room; dropping it lets the next one try.
+struct Waiter<'a> {
+    shared: &'a Shared,
+    ticket: Ticket,
+}
+
+impl<'a> Waiter<'a> {
+    fn join(shared: &'a Shared, job: &Job) -> Self {
+        let ticket = shared.waiting().join(&job.admission.service, job.admission.rank);
+        Self { shared, ticket }
+    }
+
+    fn is_first(&self) -> bool {
+        self.shared.waiting().is_first(self.ticket)
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.shared.waiting().leave(self.ticket);
+        // There may be room for the next one, too.
+        self.shared.slot_released.notify_waiters();
+    }
+}
+
 impl Forwarder {
     /// Reserves a slot on the best runner that has not been tried yet.
     ///
@@ -130,30 +156,50 @@
     }
 
     /// Reserves a slot as [`reserve_slot`](Self::reserve_slot) does. If the service's runners are brittle and
-    /// have no room, waits a short time until a request has left one of them.
+    /// have no room, waits a short time until a request has left one of them; the most urgent request goes
+    /// first.
     ///
     /// # Errors
     ///
     /// The same.
     pub async fn acquire_slot(&self, job: &Job, log: &mut AttemptLog) -> Result<Slot, Refusal> {
+        let admission = &job.admission;
+        let goes_behind = || {
+            self.shared
+                .waiting()
+                .goes_behind(&admission.service, admission.rank)
+        };
+        if !(goes_behind() && self.is_brittle(job)) {
+            match self.reserve_slot(job, log) {
+                Err(refusal) if refusal.kind == Kind::Overloaded && self.is_brittle(job) => {}
+                result => return result,
+            }
+        }
         let wait_until = tokio::time::Instant::now() + self.room_wait(job);
+        let waiter = Waiter::join(&self.shared, job);
         loop {
             let released = self.shared.slot_released.notified();
             tokio::pin!(released);
             // Registered before the attempt, so that no release is missed in between.
             released.as_mut().enable();
-            let refusal = match self.reserve_slot(job, log) {
-                Err(refusal) if refusal.kind == Kind::Overloaded => refusal,
-                result => return result,
-            };
-            let now = self.shared.now();
-            let is_brittle = self.shared.state().fleet.is_brittle(now, &job.admission.service);
-            if !is_brittle || timeout_at(wait_until, released).await.is_err() {
-                return Err(refusal);
+            if waiter.is_first() {
+                match self.reserve_slot(job, log) {
+                    Err(refusal) if refusal.kind == Kind::Overloaded && self.is_brittle(job) => {}
+                    result => return result,
+                }
+            }
+            if timeout_at(wait_until, released).await.is_err() {
+                // Whether there is room for it now or not, the request has waited long enough.
+                return self.reserve_slot(job, log);
             }
         }
     }
 
+    fn is_brittle(&self, job: &Job) -> bool {
+        let now = self.shared.now();
+        self.shared.state().fleet.is_brittle(now, &job.admission.service)
+    }
+
     /// Longest wait for room at brittle runners.
     fn room_wait(&self, job: &Job) -> Duration {
         let time_left = job.time_left(self.shared.now()).unwrap_or(MAX_ROOM_WAIT);
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -26,4 +26,5 @@
 mod software;
 mod start;
 mod usage;
+mod waiting;
 mod zone;
