--- a/crates/entry/src/proxy/origins.rs
+++ b/crates/entry/src/proxy/origins.rs
@@ -148,32 +148,43 @@
     };
     let stream = stream_key(job, attempt);
     let remembered = shared.state().origins.find(now, stream);
-    if remembered.is_some() {
-        return (remembered, Source::Own);
+    match remembered {
+        Some(_) => (remembered, Source::Own),
+        None => ask_others(shared, job, stream).await,
     }
-    let time_left = job.time_left(now).unwrap_or(MAX_SEARCH);
+}
+
+/// Asks the other hosts for a stream's version, and waits for an answer or for a list of runners that shows
+/// that there is only one.
+async fn ask_others(shared: &Shared, job: &Job, stream: StreamKey) -> (Option<Version>, Source) {
+    let time_left = job.time_left(shared.now()).unwrap_or(MAX_SEARCH);
     let search_until = Instant::now() + MAX_SEARCH.min(time_left.mul_f64(MAX_SEARCH_SHARE));
-    while Instant::now() < search_until {
+    let mut ask_at = Instant::now();
+    loop {
         let told = shared.origin_told.notified();
         tokio::pin!(told);
-        // Registered before the question, so that no answer is missed in between.
+        // Registered before the look, so that no answer is missed in between.
         told.as_mut().enable();
-        shared.state().origins.ask(stream);
-        shared.origins_pending.notify_one();
-        let ask_again_at = search_until.min(Instant::now() + ASK_INTERVAL);
-        while timeout_at(ask_again_at, told.as_mut()).await.is_ok() {
-            if let Some(version) = shared.state().origins.find(shared.now(), stream) {
-                return (Some(version), Source::Peer);
-            }
-            told.set(shared.origin_told.notified());
-            told.as_mut().enable();
+        let now = shared.now();
+        let learnt = shared.state().origins.find(now, stream);
+        if learnt.is_some() {
+            return (learnt, Source::Peer);
         }
-        let only = only_version(shared, shared.now(), job);
+        let only = only_version(shared, now, job);
         if only.is_some() {
             return (only, Source::Only);
         }
+        if Instant::now() >= search_until {
+            return (None, Source::None);
+        }
+        if Instant::now() >= ask_at {
+            ask_at = Instant::now() + ASK_INTERVAL;
+            shared.state().origins.ask(stream);
+            shared.origins_pending.notify_one();
+        }
+        // Without an answer, the loop looks at the list and asks again.
+        let _ = timeout_at(ask_at.min(search_until), told).await;
     }
-    (None, Source::None)
 }
 
 /// The only version that can have begun the stream, if there is just one.
--- a/tests/suite/proxy/fixtures.rs
+++ b/tests/suite/proxy/fixtures.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use radishstair_core::proxy::fleet::{Listed, Software, Stage};
+use radishstair_core::proxy::fleet::{Fleet, Key, Listed, Software, Stage};
+use radishstair_core::proxy::latency::Latency;
+use radishstair_core::proxy::partition::Partition;
+use radishstair_core::proxy::placement::{self, Choice, Demand, Inputs};
+use radishstair_core::proxy::prefix::Index;
 use radishstair_core::proxy::route::{Customer, Engine, Limits, Mode, Route, Scaling, Service, Share, Table};
 use radishstair_core::proxy::{Bounds, RequestHead, State};
 use radishstair_core::time::Moment;
@@ -134,3 +138,15 @@
     });
     Table::new(1, 1, Vec::new(), vec![engines], None, Limits::default())
 }
+
+/// Runner that placement chooses for a request, without patience or a limit of memory.
+pub fn choose(fleet: &Fleet, index: &Index, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
+    let inputs = Inputs {
+        fleet,
+        prefixes: index,
+        latency: &Latency::default(),
+        partition: &Partition::default(),
+        memory: None,
+    };
+    placement::choose(inputs, now, demand, tried, None).choice()
+}
--- a/tests/suite/proxy/placement.rs
+++ b/tests/suite/proxy/placement.rs
@@ -4,9 +4,8 @@
 use radishstair_core::proxy::State;
 use radishstair_core::proxy::fleet::{AttemptResult, Fleet, Key, Listed, Load, Runner};
 use radishstair_core::proxy::gossip::{self, Meter, Peers};
-use radishstair_core::proxy::latency::Latency;
 use radishstair_core::proxy::partition::{self, Partition};
-use radishstair_core::proxy::placement::{self, Choice, Demand, Inputs, Segment};
+use radishstair_core::proxy::placement::{Demand, Segment};
 use radishstair_core::proxy::prefix::Index;
 use radishstair_core::time::Moment;
 use std::time::Duration;
@@ -14,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::fixtures::{bounds, runner};
+use super::fixtures::{bounds, choose, runner};
 
 fn at(ms: u64) -> Moment {
     Moment::at_ms(100_000 + ms)
@@ -32,17 +31,6 @@
     fleet
 }
 
-fn choose(fleet: &Fleet, index: &Index, now: Moment, demand: &Demand, tried: &[Key]) -> Option<Choice> {
-    let inputs = Inputs {
-        fleet,
-        prefixes: index,
-        latency: &Latency::default(),
-        partition: &Partition::default(),
-        memory: None,
-    };
-    placement::choose(inputs, now, demand, tried, None).choice()
-}
-
 fn host(runners: usize) -> State {
     let mut state = State::new(bounds(), "zone-0");
     state.fleet = fleet(runners);
--- a/tests/suite/proxy/software.rs
+++ b/tests/suite/proxy/software.rs
@@ -5,15 +5,13 @@
 use quickcheck::quickcheck;
 use radishstair_core::proxy::fleet::software::Version;
 use radishstair_core::proxy::fleet::{AttemptResult, Fleet, Key, Listed, Software, Stage};
-use radishstair_core::proxy::latency::Latency;
-use radishstair_core::proxy::partition::Partition;
-use radishstair_core::proxy::placement::{self, Choice, Demand, Inputs, Segment};
+use radishstair_core::proxy::placement::{Choice, Demand, Segment};
 use radishstair_core::proxy::prefix::Index;
 use radishstair_core::time::Moment;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::fixtures::runner;
+use super::fixtures::{self, runner};
 
 fn at(ms: u64) -> Moment {
     Moment::at_ms(100_000 + ms)
@@ -62,14 +60,7 @@
 }
 
 fn choose(fleet: &Fleet, index: &Index, ms: u64, version: Option<Version>, tried: &[Key]) -> Option<Choice> {
-    let inputs = Inputs {
-        fleet,
-        prefixes: index,
-        latency: &Latency::default(),
-        partition: &Partition::default(),
-        memory: None,
-    };
-    placement::choose(inputs, at(ms), &demand(version), tried, None).choice()
+    fixtures::choose(fleet, index, at(ms), &demand(version), tried)
 }
 
 /// A stream goes on at runners of the version that began it, however many others there are, and at none if
