Log the parts of the prompts of requests

The logs of the incident say which requests were on an engine when it ended, and not what these had in common; so a request content that crashes engines could not be told from load or from faulty engines. The lines of finished and of broken requests name the parts that other requests may share, eight at most. No logic changes.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -16,6 +16,7 @@
 pub mod bounds;
 pub mod budget;
 pub mod clock;
+pub mod crash;
 pub mod delta;
 pub mod document;
 mod exchange;
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -205,6 +205,7 @@
         after_ms,
         proof_ms,
         runners = log.candidates,
+        parts = job.logged_parts(),
     );
     result
 }
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -309,7 +309,8 @@
                 tracing::info!(
                     event = "runner-broke-off",
                     request = job.metadata.id,
-                    runner = slot.id
+                    runner = slot.id,
+                    parts = job.logged_parts()
                 );
                 Err(AttemptError::Failed(Fault::MayHaveRun))
             }
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::header::HOST;
 use hyper::http::request;
+use radishstair_core::proxy::crash;
 use radishstair_core::proxy::fleet::{Key, Way};
 use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::overload::Patience;
@@ -19,6 +20,8 @@
 
 /// Unreachable runners after which the request is refused.
 const MAX_UNREACHABLE: u32 = 4;
+/// Parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
 
 /// A caller's request, read completely and admitted.
 #[derive(Debug)]
@@ -72,6 +75,17 @@
         })
     }
 
+    /// Parts of the prompt that other requests may share, for log lines; a part of the request's own is left
+    /// out.
+    pub fn logged_parts(&self) -> String {
+        let parts = crash::shared_parts(&self.metadata.prompt_segments);
+        let parts = parts
+            .iter()
+            .take(MAX_LOGGED_PARTS)
+            .map(|part| format!("{:x}", part.id));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Limits on sending the request again.
     pub fn retry_rule(&self) -> Rule {
         Rule {
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -176,7 +176,8 @@
             request = job.metadata.id,
             runner = self.response.slot.id,
             software = self.response.slot.software.label,
-            last = self.last_event
+            last = self.last_event,
+            parts = job.logged_parts()
         );
         self.last_event
     }
