--- a/crates/core/src/proxy/crash/evidence.rs
+++ b/crates/core/src/proxy/crash/evidence.rs
@@ -14,9 +14,10 @@
 
 /// Time for which a crash is remembered.
 const CRASH_LIFE: Duration = Duration::from_secs(300);
-/// Maximum number of crashes, the oldest of which are dropped first, and of requests for each.
+/// Maximum number of crashes, of requests for each, and of requests in all; the oldest crashes are dropped first.
 const MAX_CRASHES: usize = 512;
 const MAX_WITNESSES: usize = 48;
+const MAX_WITNESSES_IN_ALL: usize = 4_096;
 /// Time between two reports of one crash by different hosts, at most.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Maximum number of requests that a host writes to the store at once.
@@ -178,10 +179,21 @@
                     witnesses: vec![witness.clone()],
                 };
                 self.crashes.insert(at, crash);
-                let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
-                self.crashes.drain(..excess);
             }
         }
+        self.limit();
+    }
+
+    /// Drops the oldest crashes if there are too many, or too many requests in all.
+    fn limit(&mut self) {
+        let mut witnesses = 0;
+        let is_kept = |crash: &Crash| {
+            witnesses += crash.witnesses.len();
+            witnesses <= MAX_WITNESSES_IN_ALL
+        };
+        let kept = self.crashes.iter().rev().take(MAX_CRASHES).map(is_kept);
+        let kept = kept.take_while(|is_kept| *is_kept).count();
+        self.crashes.drain(..self.crashes.len() - kept);
     }
 
     /// Forgets old crashes.
--- a/crates/core/src/proxy/crash/report.rs
+++ b/crates/core/src/proxy/crash/report.rs
@@ -8,6 +8,8 @@
 
 /// Time for which an entry stays in a host's report, which each further report replaces.
 const ENTRY_LIFE: Duration = Duration::from_secs(10);
+/// Maximum number of crashes that wait to be reported.
+const MAX_WITNESSES: usize = 256;
 
 record! {
     /// A request that was on a runner when it crashed, as stored.
@@ -100,7 +102,8 @@
     /// Adds crashes; those that were added before are left out.
     pub fn add_witnesses(&mut self, now: Moment, witnesses: Vec<Witness>) {
         for witness in witnesses {
-            if !self.witnesses.iter().any(|(_, known)| *known == witness) {
+            let is_known = self.witnesses.iter().any(|(_, known)| *known == witness);
+            if !is_known && self.witnesses.len() < MAX_WITNESSES {
                 self.witnesses.push((now, witness));
                 self.has_changed = true;
             }
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -6,9 +6,9 @@
 
 use quickcheck::{QuickCheck, TestResult};
 use radishstair_core::id::digest;
-use radishstair_core::proxy::crash::evidence::Witness;
+use radishstair_core::proxy::crash::evidence::{Tally, Witness};
 use radishstair_core::proxy::crash::message::Message;
-use radishstair_core::proxy::crash::quarantine::Record;
+use radishstair_core::proxy::crash::quarantine::{MAX_PROBES, Record};
 use radishstair_core::proxy::crash::report::Report;
 use radishstair_core::proxy::crash::{Crashes, End, Part, Verdict};
 use radishstair_core::proxy::readers::Host;
@@ -615,6 +615,123 @@
     assert!(blamed_by_count > 0, "the plans tell the two ways apart");
 }
 
+fn witness(runner: u64, request: u64, ids: &[u64], ms: u64) -> Witness {
+    Witness {
+        runner,
+        request,
+        parts: parts(ids),
+        at: at(ms),
+        answering: Duration::from_millis(CRASH_DELAY_MS),
+    }
+}
+
+/// A host without others, which has been up for long.
+fn lone_host() -> Crashes {
+    let mut crashes = Crashes::default();
+    crashes.set_hosts(at(0), host(0).address, &[host(0)]);
+    crashes
+}
+
+/// Records crashes, one each 100 ms, and returns the parts that are found a second later.
+fn found(crashes: &mut Crashes, witnesses: Vec<Witness>) -> Vec<Part> {
+    let last = witnesses.last().expect("a crash").at;
+    for witness in witnesses {
+        let (runner, now) = (witness.runner, witness.at);
+        crashes.record_end(now, End::Broken, witness);
+        crashes.record_probe(now, runner, true);
+        crashes.advance(now, |_| 18);
+    }
+    let verdicts = crashes.advance(last + Duration::from_secs(1), |_| 18);
+    verdicts.into_iter().map(|verdict| verdict.part).collect()
+}
+
+/// Guards against a sound part that is blamed for one request: sent again after each crash, it has met four.
+#[test]
+fn one_request_that_meets_several_crashes_proves_nothing() {
+    let same = (0..4).map(|n| witness(n, 7, &[FIRST, 50], 5_000 + 100 * n));
+    assert!(found(&mut lone_host(), same.collect()).is_empty());
+    let different = (0..4).map(|n| witness(n, n, &[FIRST + n, 50], 5_000 + 100 * n));
+    assert_eq!(found(&mut lone_host(), different.collect()), [part(50)]);
+}
+
+/// Guards against blame for a connection that was reset: its runner still accepts others.
+#[test]
+fn a_runner_that_still_accepts_connections_has_not_crashed() {
+    let mut crashes = lone_host();
+    for n in 0..8 {
+        let now = at(5_000 + 100 * n);
+        crashes.record_end(now, End::Broken, witness(n, n, &[50], 5_000 + 100 * n));
+        crashes.record_probe(now, n, false);
+    }
+    assert!(crashes.evidence.is_empty());
+}
+
+/// Guards against an answer without a mark at its end that counts although the runner has crashed there.
+#[test]
+fn an_answer_without_a_mark_counts_if_its_runner_lives_on() {
+    let mut crashes = lone_host();
+    crashes.record_end(at(5_000), End::Unmarked, witness(1, 1, &[50], 5_000));
+    crashes.record_probe(at(5_020), 1, true);
+    assert_eq!(crashes.answers.last(part(50)), None);
+    crashes.record_end(at(9_000), End::Unmarked, witness(2, 2, &[50], 9_000));
+    crashes.record_probe(at(9_020), 2, false);
+    assert_eq!(crashes.answers.last(part(50)), Some(at(9_020)));
+}
+
+/// Guards against probes that crash one runner after the other: all hosts share one record, which counts them.
+#[test]
+fn a_quarantine_is_probed_twice_at_most() {
+    let mut record = Record::new(SERVICE, part(50), "host-1", 1_000, &Tally::default());
+    let mut probes = 0;
+    for second in 0..100_000 {
+        if let Some(next) = record.with_probe(second * 1_000) {
+            // Another host that has read the former record fails to replace it.
+            assert_ne!(next, record);
+            record = next;
+            probes += 1;
+        }
+    }
+    assert_eq!(probes, MAX_PROBES);
+}
+
+/// Guards against a quarantine that comes back by itself from the crashes before its end.
+#[test]
+fn former_crashes_do_not_count_after_the_end_of_a_quarantine() {
+    let mut crashes = lone_host();
+    let guilty: Vec<Witness> = (0..4).map(|n| witness(n, n, &[50], 5_000 + 100 * n)).collect();
+    assert_eq!(found(&mut crashes, guilty), [part(50)]);
+    let now = at(7_000);
+    let record = Record::new(SERVICE, part(50), "host-1", 7_000, &Tally::default());
+    let entry = Entry {
+        key: "record".into(),
+        version: 3,
+        value: String::new(),
+    };
+    crashes.apply_records(now, vec![(part(50), entry, record)]);
+    assert!(crashes.quarantine.holds(part(50)));
+    let (_, ended) = crashes.apply_records(at(8_000), Vec::new());
+    assert_eq!(ended, [part(50)]);
+    assert!(!crashes.quarantine.holds(part(50)));
+    assert!(crashes.advance(at(12_000), |_| 18).is_empty());
+}
+
+/// Guards against memory that grows with the ids that callers invent.
+#[test]
+fn memory_is_bounded_whatever_ids_callers_send() {
+    let mut crashes = lone_host();
+    for n in 0..40_000 {
+        let ids = [n * 3, n * 3 + 1, n * 3 + 2];
+        crashes.record_answer(at(5_000 + n), &parts(&ids));
+        crashes
+            .evidence
+            .add(at(5_000 + n), &witness(n % 900, n, &ids, 5_000 + n));
+        crashes.quarantine.record_told(at(5_000 + n), part(n));
+    }
+    assert!(crashes.answers.len() <= 8_192);
+    assert!(crashes.evidence.len() <= 512);
+    assert!(crashes.quarantine.len() <= 1_024);
+}
+
 /// Random crashes, cuts, losses and kills beside a guilty part: it is found, and no other one.
 fn finds_the_guilty_part_alone(
     seed: u64,
