Join the twins that differed by the way to a runner; move the waits before a send out of the forwarder

available and available_to_peers, has_cached and has_cached_for_peers, is_available and is_available_to_peers were pairs that differed by Way: one function each, with the way as an argument. forward.rs held waiting for room beside sending: acquire.rs has it now.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -265,28 +265,20 @@
         services.find(|name| digest(name.as_bytes()) == service).cloned()
     }
 
-    /// Runners of a service to which new requests can be sent through a peer.
-    ///
-    /// What this host has found out on its own path does not count: backoffs, zones to avoid, and doubts
-    /// whether a runner has restarted. The peer connects only to runners that it would use itself.
-    pub fn available_to_peers<'a>(
+    /// Runners of a service that can be sent new requests on a way.
+    pub fn available<'a>(
         &'a self,
         now: Moment,
         service: &'a str,
+        way: Way,
     ) -> impl Iterator<Item = (Key, &'a Runner)> {
-        self.runners().filter(move |(_, runner)| {
-            runner.listed.service == service
-                && runner.is_available_to_peers(now)
-                && self.is_listed_warm(now, runner)
-        })
-    }
-
-    /// Runners of a service that can be sent new requests.
-    pub fn available<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
         let serves = move |runner: &Runner| {
-            runner.listed.service == service && runner.is_available(now) && self.may_warm_up(now, runner)
+            runner.listed.service == service
+                && runner.is_available(now, way)
+                && self.is_warm_for(now, runner, way)
         };
-        let is_reachable = move |runner: &Runner| !self.is_avoided(now, &runner.listed.zone);
+        let is_reachable =
+            move |runner: &Runner| way == Way::Relayed || !self.is_avoided(now, &runner.listed.zone);
         // If all zones seem cut off, they are tried anyway.
         let has_reachable = self
             .arena
@@ -296,17 +288,20 @@
             .filter(move |(_, runner)| serves(runner) && (!has_reachable || is_reachable(runner)))
     }
 
-    /// Whether a runner can be used through a peer and has not restarted since `since`, when it got a
-    /// prefix.
-    pub fn has_cached_for_peers(&self, now: Moment, key: Key, since: Moment) -> bool {
-        let runner = self.get(key);
-        runner.is_some_and(|runner| runner.is_available_to_peers(now) && runner.first_seen <= since)
+    /// Whether a runner's cold start lets this host send to it. What this host has found out on its own path, such
+    /// as doubts whether a runner has restarted, does not count for a peer, which connects only to runners that it
+    /// would use itself.
+    fn is_warm_for(&self, now: Moment, runner: &Runner, way: Way) -> bool {
+        match way {
+            Way::Direct => self.may_warm_up(now, runner),
+            Way::Relayed => self.is_listed_warm(now, runner),
+        }
     }
 
-    /// Whether a runner can be used and has not restarted since `since`, when it got a prefix.
-    pub fn has_cached(&self, now: Moment, key: Key, since: Moment) -> bool {
+    /// Whether a runner can be used on a way and has not restarted since `since`, when it got a prefix.
+    pub fn has_cached(&self, now: Moment, key: Key, since: Moment, way: Way) -> bool {
         let runner = self.get(key);
-        runner.is_some_and(|runner| runner.is_available(now) && runner.first_seen <= since)
+        runner.is_some_and(|runner| runner.is_available(now, way) && runner.first_seen <= since)
     }
 
     /// Mutable runner by key.
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -228,14 +228,13 @@
 }
 
 impl Runner {
-    /// Whether it can be sent new requests.
-    pub fn is_available(&self, now: Moment) -> bool {
-        self.is_listed(now) && now.reached(self.retry_at)
-    }
-
-    /// Whether it can be sent new requests through a peer.
-    pub fn is_available_to_peers(&self, now: Moment) -> bool {
-        self.is_listed(now) && now.reached(self.relayed.retry_at)
+    /// Whether it can be sent new requests on a way.
+    pub fn is_available(&self, now: Moment, way: Way) -> bool {
+        let retry_at = match way {
+            Way::Direct => self.retry_at,
+            Way::Relayed => self.relayed.retry_at,
+        };
+        self.is_listed(now) && now.reached(retry_at)
     }
 
     /// Whether it accepts new requests according to the list, and its zone is not evacuated.
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -236,10 +236,8 @@
     tried: &[Key],
     patience: Option<Patience>,
 ) -> Selection {
-    let mut eligible: Vec<(Key, &Runner)> = match demand.way {
-        Way::Direct => inputs.fleet.available(now, &demand.service).collect(),
-        Way::Relayed => inputs.fleet.available_to_peers(now, &demand.service).collect(),
-    };
+    let available = inputs.fleet.available(now, &demand.service, demand.way);
+    let mut eligible: Vec<(Key, &Runner)> = available.collect();
     eligible.retain(|(key, runner)| !tried.contains(key) && demand.allows(now, runner));
     let count = eligible.len() as u32;
     let eligible = inputs.fleet.with_room(now, &demand.service, eligible);
@@ -425,7 +423,7 @@
         for (id, tokens) in demand.shared_prefixes().into_iter().rev() {
             let holders = inputs.prefixes.holders(now, id);
             let here: Vec<&Holder> = holders
-                .filter(|holder| has_cached(inputs, now, demand.way, holder))
+                .filter(|holder| inputs.fleet.has_cached(now, holder.key, holder.since, demand.way))
                 .collect();
             for holder in &here {
                 if let Err(at) = cached.find(holder.key) {
@@ -488,13 +486,6 @@
     }
 }
 
-fn has_cached(inputs: Inputs<'_>, now: Moment, way: Way, holder: &Holder) -> bool {
-    match way {
-        Way::Direct => inputs.fleet.has_cached(now, holder.key, holder.since),
-        Way::Relayed => inputs.fleet.has_cached_for_peers(now, holder.key, holder.since),
-    }
-}
-
 /// Time after which a prefix sent to a runner is certainly cached there.
 fn cached_after(latency: &Latency, tokens: u64) -> Duration {
     CACHED_AFTER + latency.prefill(tokens, 0).mul_f64(CACHED_AFTER_FACTOR)
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -34,6 +34,7 @@
 use adapter::Adapter;
 
 pub mod accept;
+mod acquire;
 pub mod adapter;
 pub mod admin;
 pub mod body;
--- /dev/null
+++ b/crates/entry/src/proxy/acquire.rs
@@ -0,0 +1,110 @@
+//! Waits before a request is sent to a runner: for room, and for news about what it may have crashed.
+
+use std::time::Duration;
+
+use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::proxy::waiting::Ticket;
+use tokio::time::timeout_at;
+
+use super::Shared;
+use super::forward::Forwarder;
+use super::job::{AttemptLog, Job};
+use super::slot::Slot;
+
+/// Share of the target, and of the time left, for which a request waits for room at brittle runners.
+const ROOM_WAIT_SHARE: f64 = 0.25;
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
+/// Time for which a request that broke off is held back before it is sent again, if its prompt is not known to
+/// be sound.
+const UNPROVED_HOLD: Duration = Duration::from_millis(400);
+
+/// A request that waits for room; dropping it lets the next one try.
+struct Waiter<'a> {
+    shared: &'a Shared,
+    ticket: Ticket,
+}
+
+impl<'a> Waiter<'a> {
+    fn join(shared: &'a Shared, job: &Job) -> Self {
+        let ticket = shared.waiting().join(&job.admission.service, job.admission.rank);
+        Self { shared, ticket }
+    }
+
+    fn is_first(&self) -> bool {
+        self.shared.waiting().is_first(self.ticket)
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.shared.waiting().leave(self.ticket);
+        // There may be room for the next one, too.
+        self.shared.slot_released.notify_waiters();
+    }
+}
+
+impl Forwarder {
+    /// Reserves a slot as [`reserve_slot`](Self::reserve_slot) does. If the service's runners are brittle and
+    /// have no room, waits a short time until a request has left one of them; the most urgent request goes
+    /// first.
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub async fn acquire_slot(&self, job: &Job, log: &mut AttemptLog) -> Result<Slot, Refusal> {
+        self.hold_unproved(job, log).await;
+        let admission = &job.admission;
+        let goes_behind = || {
+            self.shared
+                .waiting()
+                .goes_behind(&admission.service, admission.rank)
+        };
+        if !(goes_behind() && self.is_brittle(job)) {
+            match self.reserve_slot(job, log) {
+                Err(refusal) if refusal.kind == Kind::Overloaded && self.is_brittle(job) => {}
+                result => return result,
+            }
+        }
+        let wait_until = tokio::time::Instant::now() + self.room_wait(job);
+        let waiter = Waiter::join(&self.shared, job);
+        loop {
+            let released = self.shared.slot_released.notified();
+            tokio::pin!(released);
+            // Registered before the attempt, so that no release is missed in between.
+            released.as_mut().enable();
+            if waiter.is_first() {
+                match self.reserve_slot(job, log) {
+                    Err(refusal) if refusal.kind == Kind::Overloaded && self.is_brittle(job) => {}
+                    result => return result,
+                }
+            }
+            if timeout_at(wait_until, released).await.is_err() {
+                // Whether there is room for it now or not, the request has waited long enough.
+                return self.reserve_slot(job, log);
+            }
+        }
+    }
+
+    /// Holds a request back that has broken off before, and that may crash the next runner as well: within this
+    /// time its parts are found, if they are guilty. Requests whose parts were all answered lately do not wait.
+    async fn hold_unproved(&self, job: &Job, log: &AttemptLog) {
+        let now = self.shared.now();
+        let is_proved = || self.shared.state().crashes.is_proved(now, &job.parts_of_prompt);
+        if log.history.may_have_run() && !is_proved() {
+            let time_left = job.time_left(now).unwrap_or(UNPROVED_HOLD);
+            tokio::time::sleep(UNPROVED_HOLD.min(time_left / 4)).await;
+        }
+    }
+
+    fn is_brittle(&self, job: &Job) -> bool {
+        let now = self.shared.now();
+        self.shared.state().fleet.is_brittle(now, &job.admission.service)
+    }
+
+    /// Longest wait for room at brittle runners.
+    fn room_wait(&self, job: &Job) -> Duration {
+        let time_left = job.time_left(self.shared.now()).unwrap_or(MAX_ROOM_WAIT);
+        let target = job.admission.route.target_latency.unwrap_or(time_left);
+        target.min(time_left).mul_f64(ROOM_WAIT_SHARE).min(MAX_ROOM_WAIT)
+    }
+}
--- a/tests/suite/proxy/brittle.rs
+++ b/tests/suite/proxy/brittle.rs
@@ -7,6 +7,7 @@
 use quickcheck::quickcheck;
 use radishstair_core::id::Incarnation;
 use radishstair_core::proxy::State;
+use radishstair_core::proxy::fleet::Way;
 use radishstair_core::proxy::fleet::brittle::Place;
 use radishstair_core::proxy::fleet::{AttemptResult, Key, Listed};
 use radishstair_core::proxy::placement::Demand;
@@ -249,7 +250,7 @@
     let mut hosts = hosts(deployment);
     let key = hosts[0].fleet.find("r1").expect("listed");
     let may_use = |state: &State, ms: u64| {
-        let eligible = state.fleet.available(at(ms), "ledger").collect();
+        let eligible = state.fleet.available(at(ms), "ledger", Way::Direct).collect();
         let left = state.fleet.with_room(at(ms), "ledger", eligible);
         left.iter().any(|(left, _)| *left == key)
     };
@@ -335,7 +336,7 @@
             is_told: true,
         };
         for state in hosts(deployment) {
-            let eligible = state.fleet.available(at(10), "ledger").collect();
+            let eligible = state.fleet.available(at(10), "ledger", Way::Direct).collect();
             let left = state.fleet.with_room(at(10), "ledger", eligible);
             assert!(!left.is_empty(), "{hosts_count} hosts, {runners} runners");
         }
--- a/tests/suite/proxy/cold.rs
+++ b/tests/suite/proxy/cold.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use radishstair_core::id::{Incarnation, digest};
+use radishstair_core::proxy::fleet::Way;
 use radishstair_core::proxy::fleet::{AttemptResult, Fleet, Listed};
 use radishstair_core::proxy::route::ColdStart;
 use radishstair_core::proxy::scaling::Planner;
@@ -22,7 +23,7 @@
 }
 
 fn available(fleet: &Fleet, ms: u64) -> Vec<String> {
-    let runners = fleet.available(at(ms), "engines");
+    let runners = fleet.available(at(ms), "engines", Way::Direct);
     let mut ids: Vec<String> = runners.map(|(_, runner)| runner.listed.id.clone()).collect();
     ids.sort();
     ids
@@ -286,7 +287,10 @@
     let mut fleet = cold_fleet();
     fleet.zone = "zone-b".into();
     fleet.update(Moment::at_ms(1), vec![cold("a", 1, 0)]);
-    assert_eq!(fleet.available(Moment::at_ms(2), "engines").count(), 1);
+    assert_eq!(
+        fleet.available(Moment::at_ms(2), "engines", Way::Direct).count(),
+        1
+    );
 }
 
 /// Guards against requests to an evacuated zone, also by retries, prefix copies and runners that
@@ -306,7 +310,7 @@
     );
     assert_eq!(available(&fleet, 600), ["a"]);
     let b = fleet.find("b").expect("it is listed");
-    assert!(!fleet.has_cached(at(600), b, at(550)));
+    assert!(!fleet.has_cached(at(600), b, at(550), Way::Direct));
     assert!(!fleet.get(b).expect("it is known").is_listed(at(600)));
 }
 
--- a/tests/suite/proxy/fleet.rs
+++ b/tests/suite/proxy/fleet.rs
@@ -1,5 +1,6 @@
 //! Tests of the list of runners and of their health as one host sees it.
 
+use radishstair_core::proxy::fleet::Way;
 use radishstair_core::proxy::fleet::{AttemptResult, Fleet, Idle, Liveness, Stage};
 use radishstair_core::time::Moment;
 
@@ -11,7 +12,7 @@
 }
 
 fn available(fleet: &Fleet, ms: u64) -> Vec<String> {
-    let runners = fleet.available(at(ms), "engines");
+    let runners = fleet.available(at(ms), "engines", Way::Direct);
     let mut ids: Vec<String> = runners.map(|(_, runner)| runner.listed.id.clone()).collect();
     ids.sort();
     ids
--- a/tests/suite/proxy/relay.rs
+++ b/tests/suite/proxy/relay.rs
@@ -313,10 +313,13 @@
     let mut state = host();
     let e0 = key(&state, "e0");
     let usable = |state: &State, ms| {
-        let direct = state.fleet.available(at(ms), "engines").any(|(key, _)| key == e0);
+        let direct = state
+            .fleet
+            .available(at(ms), "engines", Way::Direct)
+            .any(|(key, _)| key == e0);
         let relayed = state
             .fleet
-            .available_to_peers(at(ms), "engines")
+            .available(at(ms), "engines", Way::Relayed)
             .any(|(key, _)| key == e0);
         (direct, relayed)
     };
