--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -282,6 +282,11 @@
         self.is_collector = self.others == 0 || holders::told(COLLECTORS, hosts).contains(&own);
     }
 
+    /// Whether this host is a collector.
+    pub fn is_collector(&self) -> bool {
+        self.is_collector
+    }
+
     /// Looks for parts that crash runners, if this host is a collector; `runners` is the number of runners of a
     /// service.
     pub fn advance(&mut self, now: Moment, runners: impl Fn(u64) -> usize) -> Vec<Verdict> {
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -367,8 +367,12 @@
         }
     }
 
-    /// Removes reports of any host from the store that have been there for long.
+    /// Removes reports of any host from the store that have been there for long. Only collectors do, so that not
+    /// all hosts call the store for each of them.
     async fn remove_outdated(&self) {
+        if !self.shared.state().crashes.is_collector() {
+            return;
+        }
         let unix_ms = self.shared.wall_clock_ms(self.shared.now());
         let is_outdated = |entry: &&Entry| {
             let age_ms = parse::<Report>(entry).map(|report| unix_ms.saturating_sub(report.written_ms));
