--- a/crates/entry/src/proxy/records.rs
+++ b/crates/entry/src/proxy/records.rs
@@ -380,7 +380,8 @@
     run.parse().ok()
 }
 
-fn parse<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
+/// Value of an entry; `None`, and a log line, if it cannot be read.
+pub(super) fn parse<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
     match serde_json::from_str(&entry.value) {
         Ok(value) => Some(value),
         Err(err) => {
