--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -7,7 +7,7 @@
 //!
 //! Each host tells a few [collectors](super::holders) which requests were on a runner that crashed. A collector
 //! that finds a part [too often](evidence) in crashes asks all hosts whether any request with it has been
-//! [answered](answers) since. If none has, the part is put under [quarantine](quarantine): its requests are
+//! [answered](answers) since. If none has, the part is put under [quarantine]: its requests are
 //! refused before they reach a runner, at all hosts. The quarantine stands in the platform's store, so that it
 //! reaches hosts that are cut off from their peers, and outlives those that have found it. Hosts that reach no
 //! peer exchange crashes and answers through [reports](report) in the store.
--- a/crates/core/src/proxy/crash/evidence.rs
+++ b/crates/core/src/proxy/crash/evidence.rs
@@ -249,8 +249,8 @@
         }
     }
 
-    /// Parts that were found in several crashes since they were last answered, at most [`MAX_SUSPECTS`] of those
-    /// that were found most often.
+    /// Parts that were found in several crashes since they were last answered, at most a few of those that
+    /// were found most often.
     pub fn suspects(&self, answers: &Answers, is_explained: impl Fn(Part) -> bool) -> Vec<Verdict> {
         let mut found: Vec<(Part, usize)> = Vec::new();
         for (index, crash) in self.crashes.iter().enumerate() {
