Log who ended a stream, and after what silence

From the log, a stream that its runner ended and one that this host closed for its runner's silence look the same: both are `stream-broken`. No decision is changed.

--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -176,11 +176,21 @@
         if result == AttemptResult::Broken {
             crashes::record_end(job, &self.response.slot, End::Broken, Some(self.response.head_at));
         }
+        let now = self.response.slot.shared.now();
+        let silent_ms = self
+            .last_arrival
+            .map(|last_arrival| now.since(last_arrival).as_millis() as u64);
+        let ended_by = match result {
+            AttemptResult::Silent => "host",
+            _ => "runner",
+        };
         tracing::info!(
             event = "stream-broken",
             request = job.metadata.id,
             runner = self.response.slot.id,
             software = self.response.slot.software.label,
+            ended_by,
+            silent_ms,
             last = self.last_event,
             parts = job.logged_parts()
         );
