Keep the runner of a silent stream until another one has begun

Cause: after 1.5 s or two gaps without an event the host closed the connection to the runner, and asked only then whether another one might go on. Each of "budget spent", "attempts spent" and "deadline over before the other runner began" then left the caller with nothing, although the runner was only busy: it served others before and after. Class: something that may still come is given up before what takes its place has begun.

Change: a silent stream is a state of its own (core::proxy::takeover). The host asks first: attempts, budget, deadline, version, room, and no runner that was silent itself lately. A denial leaves the stream where it is, and is looked at again where its reason may pass. The other runner's answer and the first runner's next event are waited for together; the one that is heard first serves the stream, and the other connection is closed.

The silence after which another runner is asked is as before, so a lost path is left as fast as before. Pauses of that length are still left out of the latency model.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -42,6 +42,7 @@
 pub mod scaling;
 pub mod services;
 pub mod start;
+pub mod takeover;
 pub mod usage;
 pub mod waiting;
 
@@ -489,4 +490,9 @@
     pub fn take_retry(&mut self, now: Moment, service: &str) -> bool {
         self.budgets.take(now, service, &self.bounds, self.hosts)
     }
+
+    /// Whether the shared budget has a retry left.
+    pub fn has_retry(&mut self, now: Moment, service: &str) -> bool {
+        self.budgets.has_retry(now, service, &self.bounds, self.hosts)
+    }
 }
--- a/crates/core/src/proxy/budget.rs
+++ b/crates/core/src/proxy/budget.rs
@@ -50,6 +50,15 @@
             self.buckets.pop_front();
         }
     }
+
+    fn has_retry(&mut self, now: Moment, bounds: &Bounds, hosts: u32) -> bool {
+        self.expire(now, bounds.repeat_window_s);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let slack = bounds.repeat_slack / f64::from(hosts.max(1) + UNKNOWN_HOSTS);
+        let allowed = USED_SHARE * (f64::from(requests) * bounds.repeat_ratio + slack);
+        f64::from(retries + 1) <= allowed
+    }
 }
 
 /// Retry budgets by service.
@@ -67,15 +76,17 @@
     /// Takes one retry from a service's budget, if any is left.
     pub fn take(&mut self, now: Moment, service: &str, bounds: &Bounds, hosts: u32) -> bool {
         let service = self.services.get_or_default(service);
-        service.expire(now, bounds.repeat_window_s);
-        let requests: u32 = service.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = service.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = bounds.repeat_slack / f64::from(hosts.max(1) + UNKNOWN_HOSTS);
-        let allowed = USED_SHARE * (f64::from(requests) * bounds.repeat_ratio + slack);
-        if f64::from(retries + 1) > allowed {
-            return false;
+        let is_left = service.has_retry(now, bounds, hosts);
+        if is_left {
+            service.bucket(now).retries += 1;
         }
-        service.bucket(now).retries += 1;
-        true
+        is_left
+    }
+
+    /// Whether a service's budget has a retry left.
+    pub fn has_retry(&mut self, now: Moment, service: &str, bounds: &Bounds, hosts: u32) -> bool {
+        self.services
+            .get_or_default(service)
+            .has_retry(now, bounds, hosts)
     }
 }
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -13,6 +13,7 @@
 mod cold;
 mod runner;
 pub mod software;
+mod stall;
 
 use runner::Backoff;
 pub use runner::{AttemptResult, Idle, Listed, Liveness, Load, Runner, Stage, Way};
@@ -195,6 +196,7 @@
         let at = self.hashes.partition_point(|(have, _)| *have < hash);
         self.hashes.insert(at, (hash, key));
         self.arena.push(Runner {
+            stalled_at: None,
             belief: software::Belief::default(),
             cold: cold::State::of_entry(first_seen, listed.cold_for),
             evacuated: self.is_evacuated(&listed.zone),
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -218,6 +218,8 @@
         pub(super) last_contact: Moment,
         /// When the path to it was last found to be down.
         pub(super) path_lost_at: Option<Moment>,
+        /// When it last fell silent amid an answer, if it was not heard since.
+        pub(super) stalled_at: Option<Moment>,
         /// Whether its entry tells the software of its process.
         pub(super) belief: Belief,
         /// Its cold start.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -125,6 +125,13 @@
             }
             Fault::MayHaveRun => self.may_have_run = true,
         }
+        self.denial(rule, timed_out, take_budget)
+    }
+
+    /// Why the request may not be sent to another runner now; `None` if it may.
+    ///
+    /// `has_budget` is called last.
+    pub fn denial(&self, rule: &Rule, timed_out: bool, has_budget: impl FnOnce() -> bool) -> Option<Denial> {
         if self.may_have_run && rule.at_most_once {
             return Some(Denial::MayHaveRun);
         }
@@ -134,7 +141,7 @@
         if self.sends >= rule.max_attempts {
             return Some(Denial::AttemptsExhausted);
         }
-        (!take_budget()).then_some(Denial::BudgetExhausted)
+        (!has_budget()).then_some(Denial::BudgetExhausted)
     }
 
     /// Reverts [`Self::record_send`], as no byte was sent.
@@ -142,8 +149,8 @@
         self.sends -= 1;
     }
 
-    /// Records that the deadline passed while a runner may be running the request.
-    pub fn record_timeout(&mut self) {
+    /// Records that a runner runs the request, or may be running it as the deadline passes.
+    pub fn record_run(&mut self) {
         self.may_have_run = true;
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -63,6 +63,14 @@
     pub source: &'static str,
 }
 
+/// Label of silences of streams.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SilenceLabel {
+    /// `went-on` if the runner did, `taken-over` by another runner, `broken` if the runner broke off, `over` if
+    /// the caller's time ran out.
+    pub outcome: &'static str,
+}
+
 /// Label of metrics by call to the platform or to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabel {
@@ -89,6 +97,8 @@
     pub tokens: Family<ClassLabel, Counter>,
     /// Streams that were resumed at another runner.
     pub resumed_streams: Family<ClassLabel, Counter>,
+    /// Silences of streams that other runners may take over.
+    pub silences: Family<SilenceLabel, Counter>,
     /// Calls forwarded to the owner of their key.
     pub forwarded_calls: Counter,
     /// Connections refused because of the limit.
@@ -149,6 +159,7 @@
             first_answer: Family::new_with_constructor(latency_histogram),
             tokens: Family::default(),
             resumed_streams: Family::default(),
+            silences: Family::default(),
             forwarded_calls: Counter::default(),
             refused_connections: Counter::default(),
             runner_connections: Family::default(),
@@ -198,6 +209,11 @@
             "Streams resumed at another runner",
             self.resumed_streams.clone(),
         );
+        registry.register(
+            "silences",
+            "Silences of streams by how they ended",
+            self.silences.clone(),
+        );
         registry.register(
             "forwarded_calls",
             "Calls forwarded to the owner of their key",
@@ -380,6 +396,11 @@
         self.take_ups.get_or_create(&TakeUpLabel { source }).inc();
     }
 
+    /// Counts a silence of a stream.
+    pub fn count_silence(&self, outcome: &'static str) {
+        self.silences.get_or_create(&SilenceLabel { outcome }).inc();
+    }
+
     /// Counts a connection asked for at a peer.
     pub fn count_relay_request(&self, outcome: &'static str) {
         self.relay_requests
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -89,8 +89,9 @@
         let service = &job.admission.service;
         let mut demand = job.demand(log, self.way(now, service), rand::random());
         let placement = {
+            let excluded = [log.history.tried(), log.avoided.as_slice()].concat();
             let tried = Tried {
-                all: log.history.tried(),
+                all: &excluded,
                 unreached: &log.unreached,
             };
             let is_relayed = |state: &State| self.has_relay(state, now, service);
@@ -243,7 +244,7 @@
             }
             Err(_) => {
                 slot.record_attempt(AttemptResult::Broken);
-                log.history.record_timeout();
+                log.history.record_run();
                 Err(AttemptError::Final(self.deadline_refusal(job, log)))
             }
         }
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -156,6 +156,8 @@
     pub probe: Option<Part>,
     /// Runners that could not be reached directly.
     pub unreached: Vec<Key>,
+    /// Runners that are not chosen, although they were not tried.
+    pub avoided: Vec<Key>,
     /// Id of the runner chosen last.
     pub last_runner: Option<String>,
     /// Software version of that runner.
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -61,10 +61,13 @@
         self.prefill_us = 0;
     }
 
-    /// Records an event that arrived `pause` after the previous one.
-    pub fn record_event(&self, now: Moment, pause: Duration) {
+    /// Records an event that arrived `pause` after the previous one, if that is known.
+    pub fn record_event(&self, now: Moment, pause: Option<Duration>) {
         let mut state = self.shared.state();
-        state.record_event(self.key, pause);
+        if let Some(pause) = pause {
+            state.record_event(self.key, pause);
+        }
+        state.fleet.record_output(self.key);
         state.fleet.hear(now, self.key);
         if self.way == Way::Direct {
             state.record_heard(now, self.key);
@@ -75,6 +78,7 @@
     pub fn record_response(&self, now: Moment) {
         let mut state = self.shared.state();
         state.fleet.record_contact(now, self.key);
+        state.fleet.record_output(self.key);
         state.fleet.hear(now, self.key);
         if self.way == Way::Direct {
             state.record_heard(now, self.key);
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -1,9 +1,8 @@
 //! Forwarding of event streams, with resumption on another runner.
 //!
 //! Only complete events are forwarded. A resumable stream that breaks off is
-//! resumed after the last forwarded event, within the same response. The
-//! connection of the previous segment is dropped first, so that two runners
-//! never work on one stream.
+//! resumed after the last forwarded event, within the same response. If its
+//! runner only falls silent, [`takeover`] decides which runner goes on.
 
 use std::sync::Arc;
 
@@ -25,8 +24,10 @@
 use crate::upstream::attempts::{self, Attempts};
 
 mod segment;
+mod takeover;
 
 use segment::{Progress, Segment};
+use takeover::Outcome;
 
 /// Logs the end of a stream when dropped, also if the caller disconnects.
 struct EndLog {
@@ -216,7 +217,23 @@
             }
             segment.start_timing(self.shared.now());
             loop {
-                match segment.next(&job, &self.shared).await {
+                let progress = match segment.next(&job, &self.shared).await {
+                    Progress::Silent => match self.outlast_silence(&job, &mut segment, &mut log).await {
+                        Outcome::First(progress) => {
+                            segment.skip_pause();
+                            progress
+                        }
+                        Outcome::Other(next, result) => {
+                            segment.abandon(&job, result);
+                            segment = *next;
+                            record_resumption(&job, &mut segment);
+                            end_log.segments += 1;
+                            continue;
+                        }
+                    },
+                    progress => progress,
+                };
+                match progress {
                     Progress::Events(events) => {
                         end_log.events += events.ids.len();
                         segment.record_pause(self.shared.now(), &events);
@@ -278,14 +295,19 @@
                 return None;
             }
         };
-        tracing::info!(
-            event = "stream-resumed",
-            request = job.metadata.id,
-            runner = segment.response.slot.id,
-            software = segment.response.slot.software.label,
-            last = last_event
-        );
-        segment.response.slot.finish_resumed_prefill();
+        record_resumption(job, &mut segment);
         Some(segment)
     }
 }
+
+fn record_resumption(job: &Job, segment: &mut Segment) {
+    let slot = &mut segment.response.slot;
+    tracing::info!(
+        event = "stream-resumed",
+        request = job.metadata.id,
+        runner = slot.id,
+        software = slot.software.label,
+        last = segment.events.last_event
+    );
+    slot.finish_resumed_prefill();
+}
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use radishstair_core::proxy::crash::{End, Part};
 use radishstair_core::proxy::fleet::AttemptResult;
@@ -27,15 +28,21 @@
 pub struct Segment {
     /// The runner's response.
     pub response: RunnerResponse,
-    /// Id of the last event received.
-    pub last_event: Option<u64>,
-    splitter: Splitter,
+    /// Events of its body.
+    pub events: EventReader,
     /// Whether a length or chunks mark the end of the body.
     is_framed: bool,
     /// Time at which the last event arrived.
     last_arrival: Option<Moment>,
 }
 
+/// Reads the events of one runner's response.
+pub struct EventReader {
+    splitter: Splitter,
+    /// Id of the last event received.
+    pub last_event: Option<u64>,
+}
+
 /// Result of waiting for a segment.
 pub enum Progress {
     /// Complete events.
@@ -69,89 +76,35 @@
         let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key("transfer-encoding");
         Self {
             response,
-            splitter: Splitter::default(),
-            last_event,
+            events: EventReader {
+                splitter: Splitter::default(),
+                last_event,
+            },
             is_framed,
             last_arrival: None,
         }
     }
 
-    /// Waits for the next events or the end of the segment.
-    ///
-    /// If the runner of a resumable stream falls silent, the segment counts as broken
-    /// and the stream is resumed elsewhere: over a lost path no reset arrives, and
-    /// keep-alive probes take seconds to detect it. The silence is waited out if the
-    /// stream may not be resumed, or if the deadline comes first.
-    ///
-    /// A stopping host waits out every silence: a stream that it moved might find no other
-    /// runner, and stopping must not end streams whose runner is only slow.
+    /// Waits for the next events, the end of the segment, or a silence after which another runner may take
+    /// the stream over: over a lost path no reset arrives, and keep-alive probes take seconds to detect it.
     pub async fn next(&mut self, job: &Job, shared: &Shared) -> Progress {
-        loop {
-            let time_left = job.time_left(shared.now()).unwrap_or(NO_LIMIT);
-            let silence_limit = self.silence_limit(job).unwrap_or(NO_LIMIT);
-            match timeout(time_left.min(silence_limit), self.next_events()).await {
-                Ok(progress) => return progress,
-                Err(_) if silence_limit >= time_left => return Progress::TimedOut,
-                Err(_) if shared.is_stopping() => {}
-                Err(_) => return Progress::Silent,
-            }
+        let time_left = job.time_left(shared.now()).unwrap_or(NO_LIMIT);
+        let silence_limit = self.silence_limit(job).unwrap_or(NO_LIMIT);
+        let next = self.events.next(&mut self.response.body);
+        match timeout(time_left.min(silence_limit), next).await {
+            Ok(progress) => progress,
+            Err(_) if silence_limit >= time_left => Progress::TimedOut,
+            Err(_) => Progress::Silent,
         }
     }
 
     /// Longest silence of a segment that another one may follow; `None` if none may.
     fn silence_limit(&self, job: &Job) -> Option<Duration> {
-        self.last_event.filter(|_| !job.is_at_most_once())?;
+        self.events.last_event.filter(|_| !job.is_at_most_once())?;
         let gap = job.admission.route.max_event_gap?;
         Some((gap * SILENCE_GAP_MULTIPLE).max(MIN_SILENCE))
     }
 
-    /// Reads up to the next complete events.
-    async fn next_events(&mut self) -> Progress {
-        loop {
-            let Some(frame) = self.response.body.frame().await else {
-                return self.on_eof();
-            };
-            let Ok(frame) = frame else {
-                return Progress::Broken;
-            };
-            let Some(bytes) = frame.data_ref() else {
-                continue;
-            };
-            let Some(events) = self.splitter.push(bytes) else {
-                return Progress::Broken;
-            };
-            if events.bytes.is_empty() {
-                continue;
-            }
-            if !self.advance(&events.ids) {
-                return Progress::Broken;
-            }
-            return Progress::Events(events);
-        }
-    }
-
-    /// Without a length or chunks, an incomplete event is the only sign of a break.
-    fn on_eof(&self) -> Progress {
-        match self.splitter.is_empty() {
-            true => Progress::Complete,
-            false => Progress::Broken,
-        }
-    }
-
-    /// Advances past the given event ids; false if they leave a gap or repeat an event.
-    ///
-    /// A runner that resumes at another event than requested would repeat events to
-    /// the caller or omit some.
-    fn advance(&mut self, ids: &[u64]) -> bool {
-        for id in ids {
-            if self.last_event.is_some_and(|last| *id != last + 1) {
-                return false;
-            }
-            self.last_event = Some(*id);
-        }
-        true
-    }
-
     /// Starts measuring pauses at an event that arrived at `now`.
     pub fn start_timing(&mut self, now: Moment) {
         self.last_arrival = Some(now);
@@ -161,12 +114,17 @@
     ///
     /// Several events that arrive together were delayed elsewhere and are not counted.
     pub fn record_pause(&mut self, now: Moment, events: &Events) {
-        if let (Some(last_arrival), 1) = (self.last_arrival, events.ids.len()) {
-            self.response.slot.record_event(now, now.since(last_arrival));
-        }
+        let last_arrival = self.last_arrival.filter(|_| events.ids.len() == 1);
+        let pause = last_arrival.map(|last_arrival| now.since(last_arrival));
+        self.response.slot.record_event(now, pause);
         self.last_arrival = Some(now);
     }
 
+    /// Leaves the current pause out, as a runner's long silence is no measure of its pace.
+    pub fn skip_pause(&mut self) {
+        self.last_arrival = None;
+    }
+
     /// Closes a broken or silent segment; returns the event after which the next one resumes.
     ///
     /// Dropping the segment closes its connection, so that two runners never work on one
@@ -191,10 +149,10 @@
             software = self.response.slot.software.label,
             ended_by,
             silent_ms,
-            last = self.last_event,
+            last = self.events.last_event,
             parts = job.logged_parts()
         );
-        self.last_event
+        self.events.last_event
     }
 
     /// Ends a complete segment; its connection is reused if the response was framed.
@@ -217,3 +175,52 @@
         }
     }
 }
+
+impl EventReader {
+    /// Reads up to the next complete events. May be dropped and called again.
+    pub async fn next(&mut self, body: &mut Incoming) -> Progress {
+        loop {
+            let Some(frame) = body.frame().await else {
+                return self.on_eof();
+            };
+            let Ok(frame) = frame else {
+                return Progress::Broken;
+            };
+            let Some(bytes) = frame.data_ref() else {
+                continue;
+            };
+            let Some(events) = self.splitter.push(bytes) else {
+                return Progress::Broken;
+            };
+            if events.bytes.is_empty() {
+                continue;
+            }
+            if !self.advance(&events.ids) {
+                return Progress::Broken;
+            }
+            return Progress::Events(events);
+        }
+    }
+
+    /// Without a length or chunks, an incomplete event is the only sign of a break.
+    fn on_eof(&self) -> Progress {
+        match self.splitter.is_empty() {
+            true => Progress::Complete,
+            false => Progress::Broken,
+        }
+    }
+
+    /// Advances past the given event ids; false if they leave a gap or repeat an event.
+    ///
+    /// A runner that resumes at another event than requested would repeat events to
+    /// the caller or omit some.
+    fn advance(&mut self, ids: &[u64]) -> bool {
+        for id in ids {
+            if self.last_event.is_some_and(|last| *id != last + 1) {
+                return false;
+            }
+            self.last_event = Some(*id);
+        }
+        true
+    }
+}
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -26,6 +26,7 @@
 mod schedule;
 mod software;
 mod start;
+mod takeover;
 mod usage;
 mod waiting;
 mod zone;
