--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -210,17 +210,19 @@
         }
     }
 
-    /// Advances past the given event ids; false if they leave a gap or repeat an event.
+    /// Advances past the given event ids; false, at the former event, if they leave a gap or repeat an event.
     ///
     /// A runner that resumes at another event than requested would repeat events to
     /// the caller or omit some.
     fn advance(&mut self, ids: &[u64]) -> bool {
+        let mut last_event = self.last_event;
         for id in ids {
-            if self.last_event.is_some_and(|last| *id != last + 1) {
+            if last_event.is_some_and(|last| *id != last + 1) {
                 return false;
             }
-            self.last_event = Some(*id);
+            last_event = Some(*id);
         }
+        self.last_event = last_event;
         true
     }
 }
