Leave a silent runner at the first event of the other one; close fewer gaps

Found by a review that had not seen the work, each by reading or by a run of core::proxy::takeover alone:

- A second runner that was only slow was closed after 1.5 s although the first one had broken off, or although the budget allowed no third one.
It is now waited for in both cases.
- A retry that was taken from the budget and not used, as the runner could not be reached, was lost if the first runner broke off meanwhile.
- Runners to avoid stayed avoided when the first runner went on during the choice of another one.
- The end of the first runner was recorded only when the other one had answered, and its silence not at all if nobody took over.
- The path to the service is now probed when a silence begins, so that a host whose runners are all silent or full notices a lost path.
- A refusal that lasts (withdrawn key, quarantine) is not asked about again.

The first runner is now left at the other one's first event, or 300 ms after its head.

--- a/crates/core/src/proxy/takeover.rs
+++ b/crates/core/src/proxy/takeover.rs
@@ -6,9 +6,8 @@
 //! the stream from then on. Whether another runner may be asked at all (attempts, retry budget, room) is found
 //! out beforehand; while it may not, the host waits for the first one.
 //!
-//! A runner begins to run a request with the first token, when it also sends the head of its answer. The
-//! connection to the first runner is closed at that moment, so that two runners never work on one stream for
-//! longer than it takes to tell the first one.
+//! Two runners may work on one stream for 400 ms. An engine runs a request from its first token on. The first
+//! runner is therefore left at the first event of the other one, or [`MAX_OVERLAP`] after the head of its answer.
 
 use std::time::Duration;
 
@@ -17,6 +16,8 @@
 
 /// Time between two checks whether another runner may be asked.
 pub const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time between the head of another runner's answer and the end of the first runner's connection.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 /// Longest wait for another runner to begin if a further one may be asked after it.
 pub const MAX_OTHER_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -32,6 +33,8 @@
         Stopping,
         /// No other runner has room.
         NoRunner,
+        /// The stream may not be sent, as its key was withdrawn or its prompt is under quarantine.
+        Refused,
         /// The other runner refused, failed or broke off.
         Failed,
         /// The other runner did not begin in time.
@@ -47,6 +50,7 @@
             Denial::VersionUnknown => "version-unknown",
             Denial::Stopping => "stopping",
             Denial::NoRunner => "no-runner",
+            Denial::Refused => "refused",
             Denial::Failed => "other-failed",
             Denial::Slow => "other-slow",
         }
@@ -65,7 +69,8 @@
                 retry::Denial::MayHaveRun | retry::Denial::TimedOut | retry::Denial::AttemptsExhausted,
             )
             | Denial::VersionUnknown
-            | Denial::Stopping => None,
+            | Denial::Stopping
+            | Denial::Refused => None,
         }
     }
 }
@@ -76,7 +81,7 @@
     pub enum Event {
         /// The first runner has broken off.
         FirstBroken,
-        /// The stream is sent to another runner.
+        /// The stream is sent to another runner, or that one is to be waited for once more.
         OtherSent {
             /// Whether no further runner may be asked after it.
             is_last: bool,
@@ -112,7 +117,7 @@
         /// None is asked any more.
         Never,
         /// One is being chosen.
-        Chosen,
+        Asked,
         /// One has the request, and may keep it until this time, if there is a limit.
         Sent(Option<Moment>),
     }
@@ -144,8 +149,9 @@
     /// When [`Event::Tick`] is due; `None` if only other events matter.
     pub fn next_tick(&self) -> Option<Moment> {
         match self.other {
-            Other::Idle(at) | Other::Sent(Some(at)) => Some(at),
-            Other::Never | Other::Chosen | Other::Sent(None) => None,
+            Other::Idle(at) => Some(at),
+            Other::Sent(limit) => limit.filter(|_| self.has_first),
+            Other::Never | Other::Asked => None,
         }
     }
 
@@ -169,11 +175,11 @@
         match self.other {
             Other::Idle(_) | Other::Never if !self.has_first => Action::Broken,
             Other::Idle(_) if is_due => {
-                self.other = Other::Chosen;
+                self.other = Other::Asked;
                 Action::Ask
             }
             Other::Sent(_) if is_due => Action::CloseOther,
-            Other::Idle(_) | Other::Never | Other::Chosen | Other::Sent(_) => Action::Wait,
+            Other::Idle(_) | Other::Never | Other::Asked | Other::Sent(_) => Action::Wait,
         }
     }
 }
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -137,10 +137,10 @@
     /// Records a failed attempt; returns the refusal if no further attempt is allowed.
     pub fn record_failure(&self, job: &Job, log: &mut AttemptLog, fault: Fault) -> Option<Refusal> {
         let now = self.shared.now();
-        let budget = || self.shared.state().take_retry(now, &job.admission.service);
-        let reason = log
-            .history
-            .record_failure(&job.retry_rule(), fault, job.is_expired(now), budget)?;
+        let (history, has_paid) = (&mut log.history, &mut log.has_paid);
+        let budget =
+            || std::mem::take(has_paid) || self.shared.state().take_retry(now, &job.admission.service);
+        let reason = history.record_failure(&job.retry_rule(), fault, job.is_expired(now), budget)?;
         tracing::info!(
             event = "not-repeated",
             request = job.metadata.id,
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -158,6 +158,8 @@
     pub unreached: Vec<Key>,
     /// Runners that are not chosen, although they were not tried.
     pub avoided: Vec<Key>,
+    /// Whether a retry was taken from the budget and not used, as no byte was sent.
+    pub has_paid: bool,
     /// Id of the runner chosen last.
     pub last_runner: Option<String>,
     /// Software version of that runner.
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::proxy::fleet::AttemptResult;
 use radishstair_core::proxy::origin::Origin;
 use radishstair_core::retry::Fault;
 
@@ -223,12 +224,12 @@
                             segment.skip_pause();
                             progress
                         }
-                        Outcome::Other(next, result) => {
-                            segment.abandon(&job, result);
+                        Outcome::Other(next, events) => {
+                            segment.abandon(&job, AttemptResult::Silent);
                             segment = *next;
                             record_resumption(&job, &mut segment);
                             end_log.segments += 1;
-                            continue;
+                            Progress::Events(events)
                         }
                     },
                     progress => progress,
@@ -237,7 +238,9 @@
                     Progress::Events(events) => {
                         end_log.events += events.ids.len();
                         segment.record_pause(self.shared.now(), &events);
-                        yield Ok(Frame::data(events.bytes));
+                        if !events.bytes.is_empty() {
+                            yield Ok(Frame::data(events.bytes));
+                        }
                     }
                     Progress::Complete => {
                         end_log.outcome = "ok";
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -15,6 +15,7 @@
 use super::super::events::{Events, Splitter};
 use super::super::forward::{Forwarder, RunnerResponse};
 use super::super::job::Job;
+use super::super::slot::Slot;
 
 /// Minimum silence after which a segment of a resumable stream counts as broken:
 /// an engine under load pauses for most of a second.
@@ -22,7 +23,7 @@
 /// The same limit as a multiple of the operator's longest gap between events.
 const SILENCE_GAP_MULTIPLE: u32 = 2;
 /// Duration that stands for no limit.
-const NO_LIMIT: Duration = Duration::from_secs(24 * 3_600);
+pub const NO_LIMIT: Duration = Duration::from_secs(24 * 3_600);
 
 /// A runner's segment of a stream.
 pub struct Segment {
@@ -130,9 +131,8 @@
     /// Dropping the segment closes its connection, so that two runners never work on one
     /// stream.
     pub fn abandon(self, job: &Job, result: AttemptResult) -> Option<u64> {
-        self.response.slot.record_attempt(result);
         if result == AttemptResult::Broken {
-            crashes::record_end(job, &self.response.slot, End::Broken, Some(self.response.head_at));
+            record_break(job, &self.response.slot, self.response.head_at);
         }
         let now = self.response.slot.shared.now();
         let silent_ms = self
@@ -176,6 +176,12 @@
     }
 }
 
+/// Records that a runner has broken off.
+pub fn record_break(job: &Job, slot: &Slot, head_at: Moment) {
+    slot.record_attempt(AttemptResult::Broken);
+    crashes::record_end(job, slot, End::Broken, Some(head_at));
+}
+
 impl EventReader {
     /// Reads up to the next complete events. May be dropped and called again.
     pub async fn next(&mut self, body: &mut Incoming) -> Progress {
--- a/crates/entry/src/proxy/stream/takeover.rs
+++ b/crates/entry/src/proxy/stream/takeover.rs
@@ -4,35 +4,34 @@
 
 use std::future::{Future, pending};
 use std::pin::pin;
-use std::time::Duration;
 
 use hyper::body::Incoming;
 use radishstair_core::proxy::fleet::{AttemptResult, Key, Way};
 use radishstair_core::proxy::origin::Origin;
-use radishstair_core::proxy::takeover::{Action, Denial, Event, Takeover};
+use radishstair_core::proxy::takeover::{Action, Denial, Event, MAX_OVERLAP, Takeover};
 use radishstair_core::retry::{self, Fault};
 use radishstair_core::time::Moment;
+use tokio::time::timeout;
 
 use super::super::Shared;
+use super::super::events::Events;
 use super::super::forward::{AttemptError, Forwarder, RunnerResponse};
 use super::super::job::{AttemptLog, Job};
 use super::super::slot::Slot;
-use super::segment::{EventReader, Progress, Segment};
-
-/// Duration that stands for no limit.
-const NO_LIMIT: Duration = Duration::from_secs(24 * 3_600);
+use super::segment::{EventReader, NO_LIMIT, Progress, Segment, record_break};
 
 /// How the silence of a stream ended.
 pub enum Outcome {
     /// The runner was heard, has broken off, or was silent until the deadline.
     First(Progress),
-    /// Another runner has taken the stream over; the result is that of the first one.
-    Other(Box<Segment>, AttemptResult),
+    /// Another runner has taken the stream over, with these first events.
+    Other(Box<Segment>, Events),
 }
 
 /// The silent runner of a stream, while others are asked.
 struct First<'a> {
     slot: &'a Slot,
+    head_at: Moment,
     body: &'a mut Incoming,
     events: &'a mut EventReader,
     takeover: Takeover,
@@ -50,10 +49,6 @@
 }
 
 impl First<'_> {
-    fn on_event(&mut self, now: Moment, event: Event) -> Action {
-        self.takeover.on_event(now, event)
-    }
-
     /// Waits for the first runner and another future.
     async fn wait<T>(&mut self, shared: &Shared, job: &Job, other: impl Future<Output = T>) -> Signal<T> {
         let mut other = pin!(other);
@@ -65,7 +60,10 @@
             let event = tokio::select! {
                 biased;
                 progress = self.events.next(self.body), if has_first => match progress {
-                    Progress::Broken => Event::FirstBroken,
+                    Progress::Broken => {
+                        record_break(job, self.slot, self.head_at);
+                        Event::FirstBroken
+                    }
                     progress => return Signal::First(progress),
                 },
                 result = other.as_mut() => return Signal::Other(result),
@@ -75,8 +73,12 @@
             if job.is_expired(now) {
                 return Signal::First(Progress::TimedOut);
             }
-            match self.on_event(now, event) {
+            match self.takeover.on_event(now, event) {
                 Action::Wait => {}
+                Action::CloseOther if !shared.state().has_retry(now, &job.admission.service) => {
+                    // No further runner could be asked, so this one is waited for once more.
+                    self.takeover.on_event(now, Event::OtherSent { is_last: false });
+                }
                 action => return Signal::Action(action),
             }
         }
@@ -93,18 +95,28 @@
             );
             self.last_denial = Some(denial);
         }
-        self.on_event(now, Event::OtherDenied(denial)) == Action::Broken
+        self.takeover.on_event(now, Event::OtherDenied(denial)) == Action::Broken
     }
 
-    /// Result of the attempt at the first runner, as another one goes on.
-    fn result(&self) -> AttemptResult {
-        match self.takeover.has_first() {
-            true => AttemptResult::Silent,
-            false => AttemptResult::Broken,
+    /// Waits for the first events of another runner that has answered, for a short time only.
+    async fn await_begin(&mut self, job: &Job, shared: &Shared, next: &mut Segment) -> Begin {
+        let begin = timeout(MAX_OVERLAP, next.next(job, shared));
+        match self.wait(shared, job, begin).await {
+            Signal::First(progress) => Begin::First(progress),
+            Signal::Other(Ok(Progress::Events(events))) => Begin::Other(events),
+            Signal::Other(Ok(Progress::Broken)) => Begin::Broken,
+            Signal::Other(_) | Signal::Action(_) => Begin::Other(Events::default()),
         }
     }
 }
 
+/// Who goes on after another runner has answered.
+enum Begin {
+    First(Progress),
+    Other(Events),
+    Broken,
+}
+
 impl Forwarder {
     /// Waits until the runner of a silent segment is heard, or another one has taken the stream over.
     pub(super) async fn outlast_silence(
@@ -114,21 +126,20 @@
         log: &mut AttemptLog,
     ) -> Outcome {
         let (shared, silent_at) = (&*self.shared, self.shared.now());
-        let Segment {
-            response: RunnerResponse { slot, body, .. },
-            events,
-            ..
-        } = segment;
+        let Segment { response, events, .. } = segment;
+        let RunnerResponse {
+            slot, body, head_at, ..
+        } = response;
         let slot = &*slot;
         record_silence(job, slot, log, events.last_event);
         let mut first = First {
             slot,
+            head_at: *head_at,
             body,
             events,
             takeover: Takeover::new(silent_at),
             last_denial: None,
         };
-        let mut is_paid = false;
         let progress = loop {
             match first.wait(shared, job, pending::<()>()).await {
                 Signal::First(progress) => break progress,
@@ -136,8 +147,9 @@
                 Signal::Action(Action::Broken) => break Progress::Broken,
                 Signal::Action(_) | Signal::Other(()) => continue,
             }
-            let reserve = self.reserve_other(job, log, &mut is_paid);
-            let other = match first.wait(shared, job, reserve).await {
+            let reserved = first.wait(shared, job, self.reserve_other(job, log)).await;
+            log.avoided.clear();
+            let other = match reserved {
                 Signal::First(progress) => break progress,
                 Signal::Action(_) => continue,
                 Signal::Other(Ok(other)) => other,
@@ -149,33 +161,43 @@
             let other_key = other.key;
             let last_event = first.events.last_event;
             let is_last = log.history.sends() + 1 >= job.admission.route.attempts;
-            first.on_event(shared.now(), Event::OtherSent { is_last });
+            first
+                .takeover
+                .on_event(shared.now(), Event::OtherSent { is_last });
             let send = self.send(job, last_event, other, log);
-            let sent = first.wait(shared, job, send).await;
-            let denial = match sent {
+            let denial = match first.wait(shared, job, send).await {
                 Signal::First(progress) => break progress,
                 Signal::Other(Ok(response)) if response.parts.status.is_success() => {
-                    shared.metrics.count_silence("taken-over");
-                    let next = Segment::new(response, last_event);
-                    return Outcome::Other(Box::new(next), first.result());
+                    log.has_paid = false;
+                    let mut next = Segment::new(response, last_event);
+                    match first.await_begin(job, shared, &mut next).await {
+                        Begin::First(progress) => break progress,
+                        Begin::Other(events) => {
+                            shared.metrics.count_silence("taken-over");
+                            return Outcome::Other(Box::new(next), events);
+                        }
+                        Begin::Broken => {
+                            next.abandon(job, AttemptResult::Broken);
+                            Denial::Failed
+                        }
+                    }
                 }
+                Signal::Other(Err(AttemptError::Final(_))) => Denial::Refused,
                 Signal::Other(Err(AttemptError::Failed(
                     fault @ (Fault::Unreachable | Fault::OtherRunner),
                 ))) => {
-                    let denial = log
-                        .history
-                        .record_failure(&job.retry_rule(), fault, false, || true);
-                    is_paid = fault == Fault::Unreachable;
+                    log.has_paid &= fault == Fault::Unreachable;
+                    let rule = job.retry_rule();
+                    let denial = log.history.record_failure(&rule, fault, false, || true);
                     denial.map_or(Denial::Failed, Denial::Retry)
                 }
-                Signal::Other(Err(AttemptError::Final(_))) => Denial::NoRunner,
                 Signal::Other(Ok(_) | Err(AttemptError::Failed(Fault::NotRun | Fault::MayHaveRun))) => {
-                    is_paid = false;
+                    log.has_paid = false;
                     Denial::Failed
                 }
                 Signal::Action(_) => {
+                    log.has_paid = false;
                     shared.state().fleet.record_stall(shared.now(), other_key);
-                    is_paid = false;
                     Denial::Slow
                 }
             };
@@ -188,14 +210,7 @@
     }
 
     /// Reserves a slot at another runner that may take a silent stream over now.
-    ///
-    /// `is_paid` tells whether a retry was taken from the budget and not used, as no byte was sent.
-    async fn reserve_other(
-        &self,
-        job: &Job,
-        log: &mut AttemptLog,
-        is_paid: &mut bool,
-    ) -> Result<Slot, Denial> {
+    async fn reserve_other(&self, job: &Job, log: &mut AttemptLog) -> Result<Slot, Denial> {
         if self.shared.is_stopping() {
             // A stream that a stopping host moved might find no other runner.
             return Err(Denial::Stopping);
@@ -206,17 +221,16 @@
         let service = &job.admission.service;
         let now = self.shared.now();
         let denial = log.history.denial(&job.retry_rule(), job.is_expired(now), || {
-            *is_paid || self.shared.state().has_retry(now, service)
+            log.has_paid || self.shared.state().has_retry(now, service)
         });
         if let Some(denial) = denial {
             return Err(Denial::Retry(denial));
         }
         log.avoided = self.runners_to_avoid(now, service);
         let reserved = self.acquire_slot(job, log).await;
-        log.avoided.clear();
         let slot = reserved.map_err(|_| Denial::NoRunner)?;
-        *is_paid = *is_paid || self.shared.state().take_retry(self.shared.now(), service);
-        match *is_paid {
+        log.has_paid = log.has_paid || self.shared.state().take_retry(self.shared.now(), service);
+        match log.has_paid {
             true => Ok(slot),
             false => Err(Denial::Retry(retry::Denial::BudgetExhausted)),
         }
@@ -235,7 +249,9 @@
 fn record_silence(job: &Job, slot: &Slot, log: &mut AttemptLog, last_event: Option<u64>) {
     let now = slot.shared.now();
     log.history.record_run();
+    slot.record_attempt(AttemptResult::Silent);
     slot.shared.state().fleet.record_stall(now, slot.key);
+    slot.suspect_path();
     tracing::info!(
         event = "stream-silent",
         request = job.metadata.id,
