Keep the runners found at the start until traffic is measured

Cause: the runners that the planner finds at its first tick counted as needed for a fixed 15 s.

Change: what was found counts as needed for 15 s as before, and until traffic has been measured for the two seconds of the rate's window plus the service's boot time. A service without any traffic gives it up after a minute. If traffic begins within 9 s of the first tick (boot time 4 s), nothing changes; if it begins 10 s after it, runners are kept 1 s longer.

Evidence, in memory, boot time 4 s, four runners found in each of two zones, orders for one of them: - traffic from 20 s on: before, 1 from 15 s on; now 4 until 25.75 s, and 3, as measured, at 26.25 s - no traffic: before, 1 at 59.75 s; now 4 at 59.75 s and 1 at 60 s - traffic from 59 s on: before, 1; now 4 until 64.75 s and 1 at 65 s - traffic from 8 s on: 4 at 14.75 s and 1 at 15 s, before and now The first three tests failed before the change ([1, 1] for [4, 1] without traffic); the fourth guards the cost.

--- a/crates/core/src/proxy/scaling.rs
+++ b/crates/core/src/proxy/scaling.rs
@@ -40,9 +40,13 @@
 const PEAK_WINDOW: Duration = Duration::from_secs(8);
 /// Time for which a peak counts for the reclaimable runners on standby.
 const STANDBY_WINDOW: Duration = Duration::from_secs(30);
-/// Time for which all runners found at the start count as needed, since the earlier traffic is
-/// unknown.
+/// Minimum time for which all runners found at the start count as needed, since the earlier traffic
+/// is unknown.
 const INITIAL_HOLD: Duration = Duration::from_secs(15);
+/// Time for which they count as needed if no traffic begins.
+const IDLE_HOLD: Duration = Duration::from_secs(60);
+/// Time from the start of traffic until its rate is known; the window over which hosts measure it.
+const MEASURING_TIME: Duration = Duration::from_secs(2);
 /// Pause before an order that was refused or lost is sent again; it doubles with each refusal.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 /// Maximum of that pause.
@@ -117,8 +121,36 @@
 struct Peak {
     current: SlidingMax,
     standby: SlidingMax,
-    /// Time of the planner's first tick, and the number of runners then.
-    initial: Option<(Moment, u32)>,
+    start: Option<Start>,
+}
+
+plain! {
+    /// State at the planner's first tick for a service, and the traffic after it.
+    #[derive(Copy)]
+    struct Start {
+        /// Time of that tick.
+        at: Moment,
+        /// Number of runners found then.
+        runners: u32,
+        /// When traffic was first measured, if that was before the runners found were given up.
+        traffic_since: Option<Moment>,
+    }
+}
+
+impl Start {
+    /// Number of the runners found that count as needed: all of them until runners ordered for the
+    /// measured traffic can have booted.
+    fn needed(&mut self, now: Moment, boot_time: Duration, has_traffic: bool) -> u32 {
+        let is_idle = self.traffic_since.is_none() && now.since(self.at) < IDLE_HOLD;
+        if is_idle && has_traffic {
+            self.traffic_since = Some(now);
+        }
+        let is_held = match self.traffic_since {
+            None => is_idle,
+            Some(since) => now.since(self.at) < INITIAL_HOLD || now.since(since) < MEASURING_TIME + boot_time,
+        };
+        if is_held { self.runners } else { 0 }
+    }
 }
 
 plain! {
@@ -264,7 +296,7 @@
         if zones.is_empty() {
             return;
         }
-        let needed = self.needed(now, service, &zones, price, prefill_rate);
+        let needed = self.needed(now, service, scaling, &zones, price, prefill_rate);
         let count = zones.len() as u32;
         let is_cheap = price < MAX_RECLAIMABLE_PRICE;
         let (per_zone, mut missing, zone_count) = if is_cheap {
@@ -338,11 +370,12 @@
         &mut self,
         now: Moment,
         service: &Service,
+        scaling: &Scaling,
         zones: &[Zone],
         price: f64,
         prefill_rate: u64,
     ) -> Needed {
-        let initial: u32 = zones.iter().map(|zone| zone.on_demand + zone.reclaimable).sum();
+        let found: u32 = zones.iter().map(|zone| zone.on_demand + zone.reclaimable).sum();
         let running: u32 = zones.iter().map(|zone| zone.running).sum();
         let slots = service.engine.map_or(u32::MAX, |engine| engine.slots.max(1));
         let peak = self.peaks.get_or_default(&service.name);
@@ -350,12 +383,12 @@
         let current = f64::from(peak.current.push(now, prefill_permille, PEAK_WINDOW)) / 1e3;
         let standby = f64::from(peak.standby.push(now, prefill_permille, STANDBY_WINDOW)) / 1e3;
         // The runners found were ordered by a predecessor for the usual load.
-        let (started, initial) = *peak.initial.get_or_insert((now, initial));
-        let initial = if now.since(started) < INITIAL_HOLD {
-            initial
-        } else {
-            0
-        };
+        let start = peak.start.get_or_insert(Start {
+            at: now,
+            runners: found,
+            traffic_since: None,
+        });
+        let initial = start.needed(now, scaling.boot_time, prefill_rate > 0);
         let by_slots = f64::from(running) / (f64::from(slots) * SLOT_USE);
         let reserve = 1.0 + (RESERVE_COST / price.max(RESERVE_COST)).min(MAX_RESERVE);
         let others = (zones.len() as f64 - 1.0).max(1.0);
--- a/tests/suite/proxy/limits.rs
+++ b/tests/suite/proxy/limits.rs
@@ -161,6 +161,66 @@
     );
 }
 
+/// Reclaimable runners ordered in `zone-b` at the given times, in milliseconds, and rates of
+/// prefill work, if four are found in each zone. Orders are renewed every 250 ms in between.
+fn ordered_at(times: &[u64], prefill_rate: fn(u64) -> u64) -> Vec<u32> {
+    let mut planner = Planner::default();
+    let mut fleet = Fleet::new("zone-a");
+    let listed = (0..8).map(|at| {
+        let mut item = runner(&format!("r{at}"), "engines", ["zone-a", "zone-b"][at % 2]);
+        item.reclaimable = true;
+        item
+    });
+    fleet.update(at(0), listed.collect());
+    let mut latest = 0;
+    let mut counts = Vec::new();
+    for ms in (0..=times.iter().copied().max().unwrap_or(0)).step_by(250) {
+        for order in orders(&mut planner, ms, &fleet, prefill_rate(ms)) {
+            if order.zone == "zone-b" && order.reclaimable {
+                latest = order.count;
+            }
+        }
+        if times.contains(&ms) {
+            counts.push(latest);
+        }
+    }
+    counts
+}
+
+/// Guards against giving up the runners found at the start before any traffic has been measured:
+/// it began seconds later at too few runners, and others had to boot.
+#[test]
+fn found_runners_are_kept_until_traffic_is_measured() {
+    let times = [14_000, 15_000, 20_000, 22_000, 25_750, 26_250];
+    // The rate is a mean over a window, so it grows with the time measured.
+    let counts = ordered_at(&times, |ms| ms.saturating_sub(19_750).min(2_000) * 600);
+    assert_eq!(counts, [4, 4, 4, 4, 4, 3]);
+}
+
+/// Guards against paying for idle runners of a service that gets no traffic.
+#[test]
+fn found_runners_without_traffic_are_given_up_after_a_minute() {
+    let counts = ordered_at(&[59_750, 60_000], |_| 0);
+    assert_eq!(counts, [4, 1]);
+}
+
+/// Guards against giving up the runners found while the traffic that began last is measured.
+#[test]
+fn traffic_that_begins_late_is_measured_before_found_runners_are_given_up() {
+    let counts = ordered_at(
+        &[60_000, 64_750, 65_000],
+        |ms| if ms < 59_000 { 0 } else { 100_000 },
+    );
+    assert_eq!(counts, [4, 4, 1]);
+}
+
+/// Guards against paying longer for the runners found if traffic begins soon after the start.
+#[test]
+fn found_runners_are_kept_no_longer_if_traffic_begins_early() {
+    let counts = ordered_at(&[14_750, 15_000], |ms| if ms < 8_000 { 0 } else { 100_000 });
+    assert_eq!(counts, [4, 1]);
+}
+
 /// Guards against callers that wait because both zones lose their reclaimable runners under load.
 /// On-demand runners are ordered for all that are missing, in more than one zone, and given up
 /// when the reclaimable ones are back.
