Test the retry budget in fleets of 8 to 1,000 hosts, one case of which fails

Cause: each host uses its own part of the budget alone. At 1,000 hosts with half a request a second each this is one retry in ten seconds, so chance decides whose stream is resumed while the budget of all is nearly unused.

Evidence: a_host_of_a_large_fleet_resumes_several_streams_at_once: 1 of 8 streams is resumed, with no other retry in the fleet.

Change: this test, which fails, and one that passes: seeded fleets of 8, 80 and 1,000 hosts stay inside the budget in all windows. No program code is changed: a host that uses more than its part needs the consent of another, so loans on request are the one safe way found.

--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod brittle;
+mod budget;
 mod cold;
 mod crash;
 mod document;
