Test the retry budget while a fleet grows, shrinks or gets no requests; it is exceeded

Cause: a host's part follows the current number of hosts and its own requests of up to 10.5 s. What was used of larger parts, or by hosts that have ended, or by requests from before a window, is not taken into account.

Evidence: in memory, all hosts take all they may: 8 hosts that become 80 at once: 1,456 retries of 1,040 allowed; 80 that become 8: 1,536 of 1,088; 80 hosts whose requests stop: 3,360 of 3,280 in the first window that is exceeded.

No program code is changed. These are bounds on the worst case: a play in which it happened has not been run.

--- a/tests/suite/proxy/budget.rs
+++ b/tests/suite/proxy/budget.rs
@@ -115,3 +115,52 @@
         "streams resumed of 8, with no other retry in the fleet"
     );
 }
+
+/// Guards against more retries than allowed while a fleet grows. Hosts that have just started get
+/// their parts while what the others have used of larger parts still counts.
+#[test]
+fn a_fleet_that_grows_stays_inside_the_shared_budget() {
+    let mut fleet = Fleet::new(80);
+    for host in 0..8 {
+        fleet.retry(10_000, host, ALL, 8);
+    }
+    for host in 8..80 {
+        fleet.retry(13_000, host, ALL, 80);
+    }
+    fleet.assert_within_budget(20_000);
+}
+
+/// Guards against more retries than allowed while a fleet shrinks. The hosts that are left get the
+/// parts of those that have ended, which these have used.
+#[test]
+fn a_fleet_that_shrinks_stays_inside_the_shared_budget() {
+    let mut fleet = Fleet::new(80);
+    for ms in (0..10_000).step_by(1_000) {
+        for host in 0..80 {
+            fleet.request(ms, host);
+        }
+    }
+    for host in 0..80 {
+        fleet.retry(10_000, host, ALL, 80);
+    }
+    for host in 0..8 {
+        fleet.retry(16_000, host, ALL, 8);
+    }
+    fleet.assert_within_budget(20_000);
+}
+
+/// Guards against more retries than allowed when requests stop. Those of the time before the window
+/// don't count any more, but hosts still retry by them.
+#[test]
+fn a_fleet_without_new_requests_stays_inside_the_shared_budget() {
+    let mut fleet = Fleet::new(80);
+    for ms in (0..10_000).step_by(50) {
+        for host in 0..80 {
+            fleet.request(ms, host);
+        }
+    }
+    for host in 0..80 {
+        fleet.retry(10_000, host, ALL, 80);
+    }
+    fleet.assert_within_budget(20_000);
+}
