Do not blame a part for crashes that one request explains

Nothing was late there: 9,310 ms is when a sound part, 1003, was blamed.

Trace of the run: no request with 1003 was answered anywhere between 7,610 and 9,310 ms, so no datagram that was lost or cut mattered for its answers (about four a second before). At 8,520 ms a sound request with 1003 was on the same runner. Host 4, a collector, was told of all four crashes and of both requests. For the guilty part it counted one request, too few for a verdict. For 1003 it counted two, so that at 9,010 ms the ratio 20.98 (18.4 needed) was a proof; it asked once more at 9,260 ms and put 1003 under quarantine at 9,310 ms. The second request was to show that the crashes are not those of one request sent again, but its only crash was one of that request.

A verdict now needs that no single request was in all crashes with the part. This is stricter than two different requests, which it implies.

--- a/crates/core/src/proxy/crash/evidence.rs
+++ b/crates/core/src/proxy/crash/evidence.rs
@@ -23,11 +23,10 @@
 /// Maximum number of requests that a host writes to the store at once.
 pub const MAX_STORED: usize = 16;
 /// Minimum number of crashes for a hearing, maximum number of parts that are heard at the same time, and
-/// minimum numbers of crashes and of different requests for a quarantine.
+/// minimum number of crashes for a quarantine.
 const SUSPECT_CRASHES: u32 = 2;
 const MAX_SUSPECTS: usize = 32;
 const PROOF_CRASHES: u32 = 3;
-const PROOF_REQUESTS: u32 = 2;
 /// The same number of crashes if few other hosts could be heard.
 const PROOF_CRASHES_UNHEARD: u32 = 5;
 /// Natural logarithm of the likelihood ratio from which a part counts as guilty, and the same for a part of
@@ -88,6 +87,10 @@
             .any(|witness| witness.parts.binary_search(&part).is_ok())
     }
 
+    fn has_request(&self, request: u64) -> bool {
+        self.witnesses.iter().any(|witness| witness.request == request)
+    }
+
     fn is_of(&self, service: u64) -> bool {
         let mut parts = self.witnesses.iter().flat_map(|witness| &witness.parts);
         parts.any(|part| part.service == service)
@@ -102,6 +105,8 @@
         pub crashes: u32,
         /// Different requests with it in these.
         pub requests: u32,
+        /// Whether one of these requests was in all of the crashes.
+        pub is_of_one_request: bool,
         /// Crashes without the part in the same time.
         pub others: u32,
         /// First crash with the part.
@@ -140,8 +145,9 @@
             true => PROOF_CRASHES,
             false => PROOF_CRASHES_UNHEARD,
         };
-        // A single request may have met several crashes by itself, sent again after each.
-        let is_repeated = self.crashes >= crashes && self.requests >= PROOF_REQUESTS;
+        // A single request, sent again after each crash, may have caused all of them by another of its parts,
+        // also those that a request beside it met.
+        let is_repeated = self.crashes >= crashes && !self.is_of_one_request;
         is_repeated && self.log_ratio(runners) >= required
     }
 }
@@ -239,9 +245,11 @@
         let mut requests: Vec<u64> = with_part_requests.iter().map(|witness| witness.request).collect();
         requests.sort_unstable();
         requests.dedup();
+        let is_in_all = |request: &u64| with_part().all(|crash| crash.has_request(*request));
         Tally {
             crashes: with_part().count() as u32,
             requests: requests.len() as u32,
+            is_of_one_request: requests.iter().any(is_in_all),
             others: others.count() as u32,
             first: first.at,
             span: last.at.since(first.at),
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -654,6 +654,17 @@
     assert_eq!(found(&mut lone_host(), different.collect()), [part(50)]);
 }
 
+/// Guards against a second request that counts although all its crashes were those of the first one.
+#[test]
+fn a_request_beside_one_that_meets_several_crashes_proves_nothing() {
+    let again = |n| witness(n, 7, &[FIRST, 50, GUILTY], 5_000 + 100 * n);
+    let beside = |n| witness(n, 8, &[FIRST, 50], 5_010 + 100 * n);
+    let crashes = vec![again(0), again(1), again(2), beside(2), again(3)];
+    assert!(found(&mut lone_host(), crashes).is_empty());
+    let alone = vec![again(0), again(1), again(2), beside(3), again(4)];
+    assert!(!found(&mut lone_host(), alone).is_empty());
+}
+
 /// Guards against blame for a connection that was reset: its runner still accepts others.
 #[test]
 fn a_runner_that_still_accepts_connections_has_not_crashed() {
@@ -791,6 +802,13 @@
         .quickcheck(finds_the_guilty_part_alone as fn(u64, u8, u8, bool, bool, u16) -> TestResult);
 }
 
+/// Guards against a sound part that is blamed for one guilty request, as a sound one was beside it in a crash.
+#[test]
+fn a_part_of_one_guilty_request_and_of_one_beside_it_is_not_blamed() {
+    let seen = check_random_plan(10_550_438_875_445_134_183, 37, 1, false, false, 45_820);
+    assert!(!seen.is_failure(), "{seen:?}");
+}
+
 /// Guards against verdicts that never come, as each kill begins them anew at hosts that reach no peer.
 #[test]
 fn a_part_is_found_while_hosts_without_peers_are_killed() {
