Close connections unread that a slow host cannot begin with in time

Cause: the accept loop took every new connection and started a task for it at once. On a host that runs 4 % of the time, the 320 new connections a second share the traffic thread with the requests that it has already begun, so that all of them progress slowly and none is answered within the caller's second. Nothing was closed, so no caller went elsewhere.

Change: accepted connections wait in the order of arrival. The loop begins with one each time all other ready work has had a turn. One that has waited longer than 0.5 s is closed unread and counted (`expired_connections`). The host goes on with those that have waited less, so it keeps taking connections and stays ready; it doesn't depend on the state of others.

Not covered: the time in the kernel's queue does not count; the own front accepts as before.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -24,6 +24,7 @@
 pub mod freshness;
 pub mod gossip;
 pub mod holders;
+pub mod intake;
 pub mod latency;
 pub mod memory;
 pub mod mirror;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -103,6 +103,8 @@
     pub forwarded_calls: Counter,
     /// Connections refused because of the limit.
     pub refused_connections: Counter,
+    /// Connections closed unread because they had waited too long.
+    pub expired_connections: Counter,
     /// New connections to runners.
     pub runner_connections: Family<ConnectionLabel, Counter>,
     /// Connections that peers have asked for.
@@ -162,6 +164,7 @@
             silences: Family::default(),
             forwarded_calls: Counter::default(),
             refused_connections: Counter::default(),
+            expired_connections: Counter::default(),
             runner_connections: Family::default(),
             relays: Family::default(),
             relayed_connections: Gauge::default(),
@@ -224,6 +227,11 @@
             "Connections refused because of the limit",
             self.refused_connections.clone(),
         );
+        registry.register(
+            "expired_connections",
+            "Connections closed unread because they had waited too long",
+            self.expired_connections.clone(),
+        );
         registry.register(
             "runner_connections",
             "New connections to runners by outcome",
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections, enforces limits and serves the requests.
 
 use std::convert::Infallible;
+use std::future::ready;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,11 +11,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use radishstair_core::error::{Kind, Refusal};
+use radishstair_core::proxy::intake::Intake;
 use radishstair_core::proxy::route::Limits;
 use radishstair_core::proxy::{Admission, crash};
 use radishstair_core::time::Moment;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::timeout;
 
 use super::adapter::Metadata;
@@ -34,35 +36,53 @@
 /// Smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
+/// A connection and its part of the limit on open connections.
+type Connection = (TcpStream, OwnedSemaphorePermit);
+
 /// Accepts connections until `stop` becomes true. Connections that are open then
 /// close after their current request.
 pub async fn serve(forwarder: Arc<Forwarder>, listener: TcpListener, stop: watch::Receiver<bool>) {
     let max_connections = forwarder.shared.settings.load().max_connections();
     let permits = Arc::new(Semaphore::new(max_connections));
+    let mut intake: Intake<Connection> = Intake::default();
     let mut stopped = stop.clone();
+    let start = |(stream, permit): Connection| {
+        let (forwarder, stop) = (forwarder.clone(), stop.clone());
+        tokio::spawn(async move {
+            serve_connection(forwarder, stream, stop).await;
+            drop(permit);
+        });
+    };
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => return,
+            biased;
+            _ = stopped.wait_for(|stop| *stop) => break,
+            accepted = listener.accept() => Some(accepted),
+            () = ready(()), if !intake.is_empty() => None,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(err) => {
+        let shared = &forwarder.shared;
+        match accepted {
+            Some(Ok((stream, _))) => {
+                match permits.clone().try_acquire_owned() {
+                    Ok(permit) => intake.join(shared.now(), (stream, permit)),
+                    Err(_) => _ = shared.metrics.refused_connections.inc(),
+                }
+                continue;
+            }
+            Some(Err(err)) => {
                 // Out of file descriptors: connections must close before more can be accepted.
                 tracing::warn!(event = "accept-failed", reason = %err);
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
             }
-        };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            forwarder.shared.metrics.refused_connections.inc();
-            continue;
-        };
-        let (forwarder, stop) = (forwarder.clone(), stop.clone());
-        tokio::spawn(async move {
-            serve_connection(forwarder, stream, stop).await;
-            drop(permit);
-        });
+            // Everything else that is ready to run has its turn first.
+            None => tokio::task::yield_now().await,
+        }
+        let expired = intake.expire(shared.now()).count();
+        shared.metrics.expired_connections.inc_by(expired as u64);
+        intake.take().into_iter().for_each(&start);
+    }
+    while let Some(connection) = intake.take() {
+        start(connection);
     }
 }
 
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod freshness;
 mod gossip;
+mod intake;
 mod latency;
 mod lease;
 mod limits;
