Count a host's changes of load after a pause without requests

Cause: a host without requests sends one report without loads, and then none. After at most ten seconds the others dropped it, and ignored its updates until its next report, which in a zone of 164 hosts comes up to 3.4 s later. Hosts that start 20 s before the traffic therefore place the first requests without knowing each other's, and crowd a few runners.

Change: the loads and rates of a silent host are dropped as before, but the host stays known with the number of its last report, so its next update counts. At most twice as many as there are hosts are kept, those heard last. Updates of a host that has never sent a report are ignored as before.

The simulated zone of the tests has got segments of prompts, slots, the pace of updates, reports that are skipped and the time that requests stay.

--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -2,7 +2,7 @@
 //!
 //! Each host sends its load on each runner to the hosts of its zone, several times a second. A packet
 //! replaces the host's previous one, so a lost datagram costs one interval. A host that goes
-//! silent is dropped, as its requests have ended with it. Between two packets, a host sends its
+//! silent is dropped with its loads, as its requests have ended with it. Between two packets, a host sends its
 //! zone the [changes](update). Other zones get some of the packets as well, or a [summary] of the zone
 //! where that is newer.
 
@@ -35,10 +35,13 @@
 const RECORD_EVERY: u64 = 5;
 /// Intervals without a packet after which a zone may be cut off.
 const ZONE_SILENCE_INTERVALS: u32 = 3;
-/// Intervals without a packet after which a host is dropped, and the time that this takes at most.
+/// Intervals without a packet after which a host's loads are dropped, and the time that this takes at most.
 /// Zones of up to 300 hosts send a packet in a shorter time.
 const HOST_SILENCE_INTERVALS: u32 = 8;
 const MAX_HOST_SILENCE: Duration = Duration::from_secs(10);
+/// Maximum number of hosts that are known, silent ones included, as a multiple of the hosts. Each
+/// restart of a host adds one.
+const MAX_KNOWN_FACTOR: usize = 2;
 /// Time after which a zone is overdue, beyond the times that its summaries announce: a lost datagram,
 /// and one that waits at a delegate.
 const SUMMARY_MARGIN: Duration = Duration::from_millis(500);
@@ -313,10 +316,27 @@
         )
     }
 
-    /// Drops hosts that have gone silent.
+    /// Drops the loads of hosts that have gone silent.
+    ///
+    /// A host without requests is silent as well, so the last ones stay known: their next updates
+    /// arrive before a report.
     fn drop_silent(&mut self, now: Moment, hosts: u32) {
         let limit = (interval(hosts) * HOST_SILENCE_INTERVALS).min(MAX_HOST_SILENCE);
-        self.peers.retain(|peer| now.since(peer.received) < limit);
+        let is_silent = |peer: &Peer| now.since(peer.received) >= limit;
+        self.peers
+            .retain(|peer| !(peer.packet.summary && is_silent(peer)));
+        for peer in self.peers.iter_mut().filter(|peer| is_silent(peer)) {
+            peer.packet.loads.clear();
+            peer.packet.prefill_rates.clear();
+        }
+        let max_known = hosts.max(1) as usize * MAX_KNOWN_FACTOR;
+        if self.peers.len() > max_known {
+            let mut received: Vec<Moment> = self.peers.iter().map(|peer| peer.received).collect();
+            received.sort_unstable();
+            let oldest = received[received.len() - max_known];
+            self.peers
+                .retain(|peer| peer.received >= oldest || !is_silent(peer));
+        }
     }
 
     fn apply_loads(&self, fleet: &mut Fleet) {
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod cold;
 mod crash;
+mod crowd;
 mod document;
 mod events;
 mod fixtures;
--- a/tests/suite/proxy/overload.rs
+++ b/tests/suite/proxy/overload.rs
@@ -288,6 +288,41 @@
     assert_eq!(running(&state), 0);
 }
 
+/// Report without loads of another host.
+fn idle_report(incarnation: u64) -> Packet {
+    Packet {
+        incarnation,
+        sequence: 1,
+        zone: "zone-a".into(),
+        ..Packet::default()
+    }
+}
+
+/// Guards against ignoring the requests of a host after a pause: without requests it sends no reports,
+/// and its next update comes seconds before a report.
+#[test]
+fn a_host_that_was_idle_counts_from_its_first_update() {
+    let (mut state, hash) = host_with_report(5, 3);
+    state.receive(at(60_000), Incarnation(1), idle_report(9));
+    assert_eq!(running(&state), 0);
+    state.receive_update(at(60_001), update(4, 9, load(hash, 9)));
+    assert_eq!(running(&state), 0, "from before the report");
+    state.receive_update(at(60_002), update(8, 1, load(hash, 4)));
+    assert_eq!(running(&state), 4);
+}
+
+/// Guards against keeping an entry for each restart of a host.
+#[test]
+fn hosts_that_have_been_silent_longest_are_forgotten() {
+    let (mut state, hash) = host_with_report(5, 3);
+    state.hosts = 2;
+    for other in 9..13 {
+        state.receive(at(60_000 + other), Incarnation(1), idle_report(other));
+    }
+    state.receive_update(at(60_020), update(8, 1, load(hash, 4)));
+    assert_eq!(running(&state), 0);
+}
+
 /// Guards against a host of another version that takes an update for a report without loads, and
 /// the reverse.
 #[test]
--- a/tests/suite/proxy/zone.rs
+++ b/tests/suite/proxy/zone.rs
@@ -6,7 +6,7 @@
 use radishstair_core::id::Incarnation;
 use radishstair_core::proxy::fleet::Listed;
 use radishstair_core::proxy::overload::Patience;
-use radishstair_core::proxy::placement::{Choice, Demand};
+use radishstair_core::proxy::placement::{Choice, Demand, Segment};
 use radishstair_core::proxy::{Placement, State};
 use radishstair_core::time::Moment;
 use rand::{RngExt, SeedableRng};
@@ -15,16 +15,12 @@
 use super::fixtures::{bounds, runner, table};
 
 const SERVICE: &str = "engines";
-/// Prefill time of a thousand tokens.
-const PREFILL_MS_PER_1K: f64 = 9.0;
+/// Length of a prompt without segments; long, so that most of the engines are reserved for them.
+const TOKENS: u64 = 9_000;
+/// Slots that the list states for engines that run any number of requests.
+const DEFAULT_SLOTS: u32 = 32;
 /// Time to the first event besides the prefill.
 const BASE_MS: f64 = 40.0;
-/// Time from the first event of a request to its end.
-const GENERATE_MS: u64 = 400;
-/// Length of a prompt; long, so that most of the engines are reserved for them.
-const TOKENS: u64 = 9_000;
-/// Time between two reports of a host, as in a zone of 33 hosts.
-const REPORT_MS: u64 = 800;
 /// Time between two reads of the list.
 const LIST_MS: u64 = 600;
 /// Time from sending a datagram to its arrival.
@@ -45,6 +41,21 @@
     pub refuses: bool,
     /// One in this many requests is of the most urgent kind; 0 for none.
     pub urgent_every: u64,
+    /// Segments of a request's prompt.
+    pub prompt: fn(&mut ChaCha8Rng) -> Vec<Segment>,
+    /// Prefill time of a thousand tokens.
+    pub prefill_ms_per_1k: f64,
+    /// Requests that an engine runs at once; `None` for any number.
+    pub slots: Option<u32>,
+    /// Time from the first event of a request to its end.
+    pub generate_ms: u64,
+    /// Time between two reports of a host.
+    pub report_ms: u64,
+    /// Minimum time between two updates of a host; 0 if it sends one for each start, and none when
+    /// a prompt has been prefilled.
+    pub update_ms: u64,
+    /// Whether a report without loads is sent once only.
+    pub skips_idle_reports: bool,
     pub length_ms: u64,
     pub target_ms: u64,
 }
@@ -60,6 +71,13 @@
             loss: 0.0,
             refuses: false,
             urgent_every: 0,
+            prompt: |_| Vec::new(),
+            prefill_ms_per_1k: 9.0,
+            slots: None,
+            generate_ms: 400,
+            report_ms: 800,
+            update_ms: 0,
+            skips_idle_reports: false,
             length_ms: 12_000,
             target_ms: 300,
         }
@@ -88,10 +106,40 @@
     pub urgent: Counts,
     /// Counts by second of arrival, both kinds together.
     pub by_second: Vec<Counts>,
+    /// Most requests that waited for a first event at one engine, relative to the others.
+    pub crowd: Crowd,
+}
+
+/// Requests that wait for a first event at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Crowd {
+    /// Their number.
+    pub waiting: u32,
+    /// Mean number at the engines in use at that time.
+    pub mean: f64,
+}
+
+impl Crowd {
+    /// Number beyond twice the mean.
+    pub fn excess(&self) -> f64 {
+        f64::from(self.waiting) - 2.0 * self.mean
+    }
+}
+
+/// State of an engine.
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    /// When it has prefilled all prompts that it was sent.
+    free_at: f64,
+    /// Ends of its requests, in order.
+    ends: Vec<u64>,
+    /// Ids of the prefixes that it has prefilled.
+    cached: Vec<u64>,
 }
 
 struct Running {
     host: usize,
+    engine: usize,
     choice: Choice,
     kv_tokens: u64,
     sent: u64,
@@ -106,8 +154,13 @@
     hosts: Vec<State>,
     /// Sequence number of each host's last report, and updates since.
     sent: Vec<(u64, u32)>,
-    /// When each engine has prefilled all prompts that it was sent.
-    free_at: Vec<f64>,
+    /// When each host may send its next update.
+    next_update: Vec<u64>,
+    /// Whether each host's load has changed since its last report or update.
+    has_changed: Vec<bool>,
+    /// Whether each host's last report had no loads.
+    sent_idle: Vec<bool>,
+    engines: Vec<Engine>,
     running: Vec<Running>,
     /// Updates on their way, with their senders.
     in_flight: Vec<(u64, usize, radishstair_core::proxy::gossip::update::Update)>,
@@ -135,13 +188,17 @@
             rng: ChaCha8Rng::seed_from_u64(self.seed),
             hosts: (0..self.hosts).map(|_| host()).collect(),
             sent: vec![(0, 0); self.hosts],
-            free_at: vec![0.0; self.engines],
+            next_update: vec![0; self.hosts],
+            has_changed: vec![false; self.hosts],
+            sent_idle: vec![false; self.hosts],
+            engines: vec![Engine::default(); self.engines],
             running: Vec::new(),
             in_flight: Vec::new(),
             outcome: Outcome {
                 usual: Counts::default(),
                 urgent: Counts::default(),
                 by_second: vec![Counts::default(); (self.length_ms / 1_000 + 1) as usize],
+                crowd: Crowd::default(),
             },
             zone: self,
         };
@@ -155,8 +212,10 @@
 impl World {
     fn step(&mut self, ms: u64) {
         if ms.is_multiple_of(LIST_MS) {
+            let slots = self.zone.slots;
             let listed = |at| Listed {
                 address: ([127, 0, 0, 1], 2_000 + at as u16).into(),
+                slots: slots.unwrap_or(DEFAULT_SLOTS),
                 ..runner(&engine_id(at), SERVICE, "zone-a")
             };
             for host in &mut self.hosts {
@@ -170,10 +229,13 @@
         let count = per_ms as u32 + u32::from(self.rng.random_bool(per_ms.fract()));
         for _ in 0..count {
             self.arrive(ms);
+            self.send_updates(ms);
         }
+        self.send_updates(ms);
+        let report_ms = self.zone.report_ms;
         for host in 0..self.zone.hosts {
             // The reports of the hosts are spread over the interval.
-            if (ms + host as u64 * REPORT_MS / self.zone.hosts as u64).is_multiple_of(REPORT_MS) {
+            if (ms + host as u64 * report_ms / self.zone.hosts as u64).is_multiple_of(report_ms) {
                 self.report(ms, host);
             }
         }
@@ -185,10 +247,16 @@
             0 => false,
             every => self.rng.random_range(0..every) == 0,
         };
+        let segments = (self.zone.prompt)(&mut self.rng);
         let demand = Demand {
             service: SERVICE.into(),
-            prompt_tokens: TOKENS,
+            prompt_tokens: match segments.is_empty() {
+                true => TOKENS,
+                false => segments.iter().map(|segment| segment.tokens).sum(),
+            },
             output_tokens: 50,
+            copies_prefix: true,
+            segments,
             random: self.rng.random(),
             ..Demand::default()
         };
@@ -206,20 +274,61 @@
         };
         let runner = self.hosts[host].fleet.get(choice.key).expect("a listed engine");
         let engine: usize = runner.listed.id["engine-".len()..].parse().expect("a number");
-        let prefill = TOKENS as f64 / 1e3 * PREFILL_MS_PER_1K;
-        self.free_at[engine] = self.free_at[engine].max(ms as f64) + prefill;
-        let first = (self.free_at[engine] + BASE_MS) as u64;
+        let (first, ends_at) = self.run_request(ms, engine, &demand, choice.source.is_some());
         self.running.push(Running {
             host,
+            engine,
             choice,
             kv_tokens: demand.kv_tokens(),
             sent: ms,
             first: Some(first),
-            ends_at: first + GENERATE_MS,
+            ends_at,
             is_urgent,
         });
-        if self.zone.sends_updates {
-            self.send_update(ms, host);
+        self.count_waiting(ms, engine);
+        self.has_changed[host] = true;
+    }
+
+    /// Times of the first event and of the end of a request that arrives at an engine. Copying a
+    /// prefix takes no time.
+    fn run_request(&mut self, ms: u64, engine: usize, demand: &Demand, copies: bool) -> (u64, u64) {
+        let zone = &self.zone;
+        let engine = &mut self.engines[engine];
+        let cached = |(id, _): &&(u64, u64)| copies || engine.cached.contains(id);
+        let prefixes = demand.shared_prefixes();
+        let cached_tokens = prefixes
+            .iter()
+            .rev()
+            .find(cached)
+            .map_or(0, |(_, tokens)| *tokens);
+        engine.cached.extend(prefixes.iter().map(|(id, _)| *id));
+        let tokens = demand.prompt_tokens - cached_tokens;
+        let before_last = zone
+            .slots
+            .and_then(|slots| engine.ends.len().checked_sub(slots as usize));
+        let admitted_at = before_last.map_or(ms, |at| engine.ends[at].max(ms));
+        engine.free_at =
+            engine.free_at.max(admitted_at as f64) + tokens as f64 / 1e3 * zone.prefill_ms_per_1k;
+        let first = (engine.free_at + BASE_MS) as u64;
+        engine.ends.push(first + zone.generate_ms);
+        (first, first + zone.generate_ms)
+    }
+
+    /// Counts the requests that wait at an engine, after one has arrived there.
+    fn count_waiting(&mut self, ms: u64, engine: usize) {
+        let mut waiting = vec![0; self.zone.engines];
+        let mut is_used = vec![false; self.zone.engines];
+        for run in &self.running {
+            waiting[run.engine] += u32::from(run.first.is_some_and(|first| first > ms));
+            is_used[run.engine] = true;
+        }
+        let in_use = is_used.iter().filter(|is_used| **is_used).count();
+        let crowd = Crowd {
+            waiting: waiting[engine],
+            mean: f64::from(waiting.iter().sum::<u32>()) / in_use as f64,
+        };
+        if crowd.excess() > self.outcome.crowd.excess() {
+            self.outcome.crowd = crowd;
         }
     }
 
@@ -232,6 +341,17 @@
         change(&mut self.outcome.by_second[(ms / 1_000) as usize]);
     }
 
+    /// Sends the updates that are due.
+    fn send_updates(&mut self, ms: u64) {
+        for host in 0..self.zone.hosts {
+            if self.zone.sends_updates && self.has_changed[host] && self.next_update[host] <= ms {
+                self.has_changed[host] = false;
+                self.next_update[host] = ms + self.zone.update_ms;
+                self.send_update(ms, host);
+            }
+        }
+    }
+
     fn send_update(&mut self, ms: u64, host: usize) {
         let (report, updates) = self.sent[host];
         let update = self.hosts[host].update(Incarnation(1 + host as u64), report, updates + 1);
@@ -258,6 +378,13 @@
         self.sent[host] = (self.sent[host].0 + 1, 0);
         let me = Incarnation(1 + host as u64);
         let packet = self.hosts[host].packet(moment(ms), me, self.sent[host].0);
+        self.has_changed[host] = false;
+        let is_idle = packet.loads.is_empty();
+        let has_news = !is_idle || !packet.prefixes.is_empty();
+        if self.zone.skips_idle_reports && self.sent_idle[host] && !has_news {
+            return;
+        }
+        self.sent_idle[host] = is_idle;
         for to in (0..self.zone.hosts).filter(|to| *to != host) {
             if !self.rng.random_bool(self.zone.loss) {
                 self.hosts[to].receive(moment(ms), Incarnation(1 + to as u64), packet.clone());
@@ -279,6 +406,7 @@
                 });
                 let host = &mut self.hosts[run.host];
                 host.fleet.finish_prefill(run.choice.key, run.choice.prefill_us);
+                self.has_changed[run.host] |= self.zone.update_ms > 0;
                 let elapsed = Duration::from_millis(elapsed_ms);
                 host.record_first_event(moment(ms), run.choice.key, &run.choice.conditions, elapsed);
             }
@@ -290,6 +418,8 @@
                 hosts[run.host]
                     .fleet
                     .finish_request(run.choice.key, 0, run.kv_tokens);
+                let residence = Duration::from_millis(run.ends_at - run.sent);
+                hosts[run.host].record_residence(run.choice.key, residence);
             }
             is_running
         });
