Let a part wait for the hearing about a stronger suspect

Cut hosts 3 and 4 blamed the sound part 1004 at 8,770 and 8,840 ms. It was last answered anywhere at 6,080 ms, and stood in 10 crashes of 6 requests. Both hosts knew the guilty part by 16 and 15 crashes (ratios 64.9 and 55.8), but its hearing had not ended, and a verdict was compared only with the other verdicts of the same moment. Parts are now compared with all that are proved by what is known; a weaker one waits.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -302,23 +302,26 @@
             let is_suspect = suspects.iter().any(|suspect| suspect.part == hearing.part);
             is_suspect && now.since(hearing.began) < HEARING_LIFE
         });
-        let mut verdicts: Vec<(f64, Verdict)> = Vec::new();
+        let mut proved: Vec<(f64, bool, Verdict)> = Vec::new();
         for Verdict { part, tally } in suspects {
             let runners = runners(part.service);
             let was_sound = self.answers.last(part).is_some();
             let is_heard = self.hear(now, part, &tally);
-            let is_proof = tally.is_proof(runners, was_sound, is_heard);
-            if is_proof && self.has_last_answers(now, part, &tally, was_sound) {
-                verdicts.push((tally.log_ratio(runners), Verdict { part, tally }));
+            if tally.is_proof(runners, was_sound, is_heard) {
+                let is_final = self.has_last_answers(now, part, &tally, was_sound);
+                proved.push((tally.log_ratio(runners), is_final, Verdict { part, tally }));
             }
         }
-        // Other parts may only have been beside the guilty one, whose crashes then no longer count.
-        let strongest = verdicts
+        // Other parts may only have been beside the guilty one, whose crashes then no longer count. So they also
+        // wait for one whose hearing has not ended.
+        let strongest = proved
             .iter()
-            .map(|(ratio, _)| *ratio)
+            .map(|(ratio, ..)| *ratio)
             .fold(f64::NEG_INFINITY, f64::max);
-        let found = verdicts.into_iter().filter(|(ratio, _)| *ratio >= strongest);
-        found.map(|(_, verdict)| verdict).collect()
+        let found = proved
+            .into_iter()
+            .filter(|(ratio, is_final, _)| *is_final && *ratio >= strongest);
+        found.map(|(.., verdict)| verdict).collect()
     }
 
     /// Asks the other hosts about a suspect part, if that is due; returns whether most have answered.
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -809,6 +809,27 @@
     assert!(!seen.is_failure(), "{seen:?}");
 }
 
+/// Guards against a sound part that is blamed for crashes of a guilty one, as the hearing about that one ends later.
+#[test]
+fn a_part_waits_for_the_hearing_about_a_stronger_suspect() {
+    let seen = check_random_plan(13_407_664_132_290_655_277, 0, 7, false, true, 32_020);
+    assert!(!seen.is_failure(), "{seen:?}");
+}
+
+/// Guards against a sound part that is blamed for crashes whose guilty requests the judging host does not know.
+#[test]
+fn a_part_is_not_blamed_beside_requests_of_hosts_without_peers() {
+    let seen = check_random_plan(14_053_750_205_791_650_248, 41, 2, true, true, 0);
+    assert!(!seen.is_failure(), "{seen:?}");
+}
+
+/// Guards against a sound part that is blamed although a host that reaches no peer has seen its answer.
+#[test]
+fn a_part_that_a_host_without_peers_has_seen_answered_is_not_blamed() {
+    let seen = check_random_plan(13_785_577_947_371_167_504, 224, 2, true, false, 35_850);
+    assert!(!seen.is_failure(), "{seen:?}");
+}
+
 /// Guards against verdicts that never come, as each kill begins them anew at hosts that reach no peer.
 #[test]
 fn a_part_is_found_while_hosts_without_peers_are_killed() {
