Hear the other hosts about a suspect part while a started host can't judge

Cause: a collector that has started began its hearing only after the 3 s for which it does not judge. Without peers the hearing takes 2.5 s more, and with one of eight hosts killed each 0.7 s few of them run for so long.

Evidence: crashes by the part from 6,800 ms on, the fifth at 8,320 ms, found at 13,390 ms; 7 arrivals after 11,320 ms, 3 allowed.

Change: the hearing begins at once; only the verdict and the last question before it wait for the 3 s.

a_part_is_found_while_hosts_without_peers_are_killed: before, failed in 1 run of 1 on this clone; after, passed in 6 of 6 (each with 30 random cases).

Tests: proxy::crash, 13 passed in each of 5 runs; clippy without a finding. Not run with this change: the rest of the suite of radishstair, and radishstair-platform.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -292,7 +292,7 @@
     pub fn advance(&mut self, now: Moment, runners: impl Fn(u64) -> usize) -> Vec<Verdict> {
         self.evidence.expire(now);
         let has_started = self.started_at.is_some_and(|at| now.since(at) >= START_TIME);
-        if !self.is_collector || !has_started {
+        if !self.is_collector {
             return Vec::new();
         }
         let quarantine = &self.quarantine;
@@ -308,7 +308,7 @@
             let was_sound = self.answers.last(part).is_some();
             let is_heard = self.hear(now, part, &tally);
             if tally.is_proof(runners, was_sound, is_heard) {
-                let is_final = self.has_last_answers(now, part, &tally, was_sound);
+                let is_final = has_started && self.has_last_answers(now, part, &tally, was_sound);
                 proved.push((tally.log_ratio(runners), is_final, Verdict { part, tally }));
             }
         }
