Record the end of a silent stream's runner once

If a runner broke off while another one was asked, and that one did not go on, its end was recorded twice: as a break in the wait, and again when the stream was resumed or ended. It counted double for the runner's backoff and as evidence of a crash.

--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -31,6 +31,8 @@
     pub response: RunnerResponse,
     /// Events of its body.
     pub events: EventReader,
+    /// Whether it has been recorded that the runner has broken off.
+    pub is_break_recorded: bool,
     /// Whether a length or chunks mark the end of the body.
     is_framed: bool,
     /// Time at which the last event arrived.
@@ -81,6 +83,7 @@
                 splitter: Splitter::default(),
                 last_event,
             },
+            is_break_recorded: false,
             is_framed,
             last_arrival: None,
         }
@@ -131,7 +134,7 @@
     /// Dropping the segment closes its connection, so that two runners never work on one
     /// stream.
     pub fn abandon(self, job: &Job, result: AttemptResult) -> Option<u64> {
-        if result == AttemptResult::Broken {
+        if result == AttemptResult::Broken && !self.is_break_recorded {
             record_break(job, &self.response.slot, self.response.head_at);
         }
         let now = self.response.slot.shared.now();
@@ -139,7 +142,7 @@
             .last_arrival
             .map(|last_arrival| now.since(last_arrival).as_millis() as u64);
         let ended_by = match result {
-            AttemptResult::Silent => "host",
+            AttemptResult::Silent if !self.is_break_recorded => "host",
             _ => "runner",
         };
         tracing::info!(
--- a/crates/entry/src/proxy/stream/takeover.rs
+++ b/crates/entry/src/proxy/stream/takeover.rs
@@ -34,6 +34,7 @@
     head_at: Moment,
     body: &'a mut Incoming,
     events: &'a mut EventReader,
+    is_break_recorded: &'a mut bool,
     takeover: Takeover,
     last_denial: Option<Denial>,
 }
@@ -62,6 +63,7 @@
                 progress = self.events.next(self.body), if has_first => match progress {
                     Progress::Broken => {
                         record_break(job, self.slot, self.head_at);
+                        *self.is_break_recorded = true;
                         Event::FirstBroken
                     }
                     progress => return Signal::First(progress),
@@ -126,7 +128,12 @@
         log: &mut AttemptLog,
     ) -> Outcome {
         let (shared, silent_at) = (&*self.shared, self.shared.now());
-        let Segment { response, events, .. } = segment;
+        let Segment {
+            response,
+            events,
+            is_break_recorded,
+            ..
+        } = segment;
         let RunnerResponse {
             slot, body, head_at, ..
         } = response;
@@ -137,6 +144,7 @@
             head_at: *head_at,
             body,
             events,
+            is_break_recorded,
             takeover: Takeover::new(silent_at),
             last_denial: None,
         };
