--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -2,7 +2,7 @@
 //!
 //! Only complete events are forwarded. A resumable stream that breaks off is
 //! resumed after the last forwarded event, within the same response. If its
-//! runner only falls silent, its module `takeover` decides which runner goes on.
+//! runner only falls silent, the module `takeover` decides which runner goes on.
 
 use std::sync::Arc;
 
