Log the content of requests that break off, and how many a crash broke

Cause: the logs name request ids, which callers change with each attempt, and shared parts of prompts. Nothing in them told a request that is repeated from many different ones.

Change: a hash of what a caller repeats (customer, request line, ids of the parts, body) as content in the lines request, stream-broken, runner-broke-off and answer-not-whole; the number of requests in runner-crashed. One pass of xxh3 over the body.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -45,3 +45,14 @@
 pub fn digest(bytes: &[u8]) -> u64 {
     xxhash_rust::xxh3::xxh3_64(bytes)
 }
+
+/// 64-bit hash of several fields that is the same on all hosts and in all runs. Bytes that are divided
+/// otherwise between the fields have another hash.
+pub fn digest_fields<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for field in fields {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -235,11 +235,12 @@
     }
 
     /// Records whether a runner that broke off requests still accepts connections. If it does, only
-    /// connections were lost, and that says nothing about the requests.
-    pub fn record_probe(&mut self, now: Moment, runner: u64, has_crashed: bool) {
+    /// connections were lost, and that says nothing about the requests. Returns how many had broken off.
+    pub fn record_probe(&mut self, now: Moment, runner: u64, has_crashed: bool) -> usize {
         let is_of_runner = |pending: &Break| pending.runner == runner;
         let (of_runner, others): (Vec<Break>, _) = self.breaks.drain(..).partition(is_of_runner);
         self.breaks = others;
+        let count = of_runner.len();
         if has_crashed {
             self.crashed.push((runner, now));
         }
@@ -250,6 +251,7 @@
                 (false, End::Broken) => {}
             }
         }
+        count
     }
 
     /// Records that a request with these parts was answered completely.
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -21,7 +21,7 @@
 
 use super::adapter::Metadata;
 use super::forward::Forwarder;
-use super::job::{AttemptLog, Job, request_head};
+use super::job::{self, AttemptLog, Job, request_head};
 use super::reply::{self, Body, retry_after};
 use super::{Shared, body, crashes, origins};
 use crate::in_flight::InFlightGuard;
@@ -157,6 +157,7 @@
     let job = Job {
         deadline: deadline(arrived, &metadata, &admission),
         parts_of_prompt: crash::parts(&admission.service, &metadata.prompt_segments),
+        content: job::content(&parts, &metadata, admission.customer.as_deref(), &body),
         parts,
         metadata,
         body,
@@ -233,6 +234,7 @@
         proof_ms,
         runners = log.candidates,
         parts = job.logged_parts(),
+        content = job.logged_content(),
     );
     result
 }
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -89,11 +89,11 @@
     let now = shared.now();
     let runner = digest(id.as_bytes());
     let mut state = shared.state();
-    state.crashes.record_probe(now, runner, has_crashed);
+    let requests = state.crashes.record_probe(now, runner, has_crashed);
     drop(state);
     if has_crashed {
         shared.metrics.runner_crashes.inc();
-        tracing::info!(event = "runner-crashed", runner = id);
+        tracing::info!(event = "runner-crashed", runner = id, requests);
         shared.crash_pending.notify_one();
     }
 }
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -238,7 +238,8 @@
                     event = "runner-broke-off",
                     request = job.metadata.id,
                     runner = slot.id,
-                    parts = job.logged_parts()
+                    parts = job.logged_parts(),
+                    content = job.logged_content()
                 );
                 Err(AttemptError::Failed(Fault::MayHaveRun))
             }
@@ -356,7 +357,8 @@
                     event = "answer-not-whole",
                     request = job.metadata.id,
                     runner = slot.id,
-                    memory_full = failure == ReadFailure::NoMemory
+                    memory_full = failure == ReadFailure::NoMemory,
+                    content = job.logged_content()
                 );
                 return None;
             }
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::header::HOST;
 use hyper::http::request;
+use radishstair_core::id::digest_fields;
 use radishstair_core::proxy::crash::{self, Part};
 use radishstair_core::proxy::fleet::{Key, Way};
 use radishstair_core::proxy::origin::Origin;
@@ -34,6 +35,8 @@
     pub body: Bytes,
     /// Parts of its prompt that other requests may share, sorted.
     pub parts_of_prompt: Vec<Part>,
+    /// Hash of what stays the same when the caller repeats the request under another id.
+    pub content: u64,
     /// Memory reserved for the request.
     pub held: Held,
     /// Route, service and customer that the configuration gives it.
@@ -88,6 +91,11 @@
         parts.collect::<Vec<_>>().join(",")
     }
 
+    /// The content for log lines.
+    pub fn logged_content(&self) -> String {
+        format!("{:016x}", self.content)
+    }
+
     /// Limits on sending the request again.
     pub fn retry_rule(&self) -> Rule {
         Rule {
@@ -125,6 +133,24 @@
     }
 }
 
+/// Hash of what stays the same when a caller repeats a request under another id: the customer, the request line,
+/// the parts of the prompt and the body.
+pub fn content(parts: &request::Parts, metadata: &Metadata, customer: Option<&str>, body: &[u8]) -> u64 {
+    let target = parts.uri.path_and_query();
+    let segments: Vec<u8> = metadata
+        .prompt_segments
+        .iter()
+        .flat_map(|segment| segment.id.to_le_bytes())
+        .collect();
+    digest_fields([
+        customer.unwrap_or_default().as_bytes(),
+        parts.method.as_str().as_bytes(),
+        target.map_or("", |target| target.as_str()).as_bytes(),
+        &segments,
+        body,
+    ])
+}
+
 /// Request head for admission, with a random draw among weighted services.
 pub fn request_head<'a>(parts: &'a request::Parts, metadata: &'a Metadata) -> RequestHead<'a> {
     let host = parts.headers.get(HOST);
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -153,7 +153,8 @@
             ended_by,
             silent_ms,
             last = self.events.last_event,
-            parts = job.logged_parts()
+            parts = job.logged_parts(),
+            content = job.logged_content()
         );
         self.events.last_event
     }
