--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -1,17 +1,19 @@
-//! Parts of prompts that crash the runners which answer them.
+//! Requests, and parts of their prompts, that crash the runners which answer them.
 //!
 //! A request can crash each runner that begins to answer it. When a runner crashes, all requests on it break
 //! off, and the guilty one cannot be told from the others: they share customer, route and most parts of their
-//! prompts. What tells the guilty part apart is that its requests never get an answer, while requests with any
+//! prompts. A [`Suspect`] is what may be guilty: a part of prompts, or one request that its caller repeats. What
+//! tells the guilty one apart is that its requests never get an answer, while requests with any
 //! other part are answered elsewhere in the same seconds.
 //!
 //! Each host tells a few [collectors](super::holders) which requests were on a runner that crashed. A collector
-//! that finds a part [too often](evidence) in crashes asks all hosts whether any request with it has been
-//! [answered](answers) since. If none has, the part is put under [quarantine]: its requests are
+//! that finds a suspect [too often](evidence) in crashes asks all hosts whether any request with it has been
+//! [answered](answers) since. If none has, the suspect is put under [quarantine]: its requests are
 //! refused before they reach a runner, at all hosts. The quarantine stands in the platform's store, so that it
 //! reaches hosts that are cut off from their peers, and outlives those that have found it. Hosts that reach no
 //! peer exchange crashes and answers through [reports](report) in the store.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -56,8 +58,12 @@
 const LAST_ANSWERS_LIFE: Duration = Duration::from_millis(200);
 /// Number of hosts up to which each of them answers reports in the store, and not only the collectors.
 const FEW_HOSTS: usize = 16;
-/// Maximum number of parts about which hosts are asked at the same time.
-const MAX_HEARINGS: usize = 32;
+/// Maximum number of suspects about which hosts are asked at the same time.
+const MAX_HEARINGS: usize = 64;
+/// Time after a question about a request for which it is not sent to a runner: a verdict takes no longer.
+const SUSPICION_TIME: Duration = Duration::from_millis(800);
+/// Maximum number of requests that are held for that.
+const MAX_SUSPICIONS: usize = 64;
 /// Time after which a hearing ends without another crash.
 const HEARING_LIFE: Duration = Duration::from_secs(30);
 /// Time within which a collector confirms that it was told of a crash. After that, the crash is written to the
@@ -73,37 +79,89 @@
 const MAX_PARTS: usize = 32;
 
 plain! {
-    /// Part of prompts to one service.
+    /// What a suspect is.
     #[derive(Copy, Eq, PartialOrd, Ord, Hash, Default)]
-    pub struct Part {
+    pub enum Scope {
+        /// A part of prompts that other requests may share.
+        #[default]
+        Part,
+        /// One request, whatever id each attempt of its caller has.
+        Request,
+    }
+}
+
+plain! {
+    /// What may crash the runners of one service.
+    #[derive(Copy, Eq, PartialOrd, Ord, Hash, Default)]
+    pub struct Suspect {
         /// Hash of the service's name.
         pub service: u64,
-        /// Id that callers give it.
+        /// Whether it is a part or a request.
+        pub scope: Scope,
+        /// Id that callers give to the part, or hash of the request's content.
         pub id: u64,
     }
 }
 
+/// Mark of requests in the text of a suspect.
+const REQUEST_MARK: &str = "request-";
+
+impl Suspect {
+    /// Part of prompts to a service.
+    pub fn part(service: u64, id: u64) -> Self {
+        let scope = Scope::Part;
+        Self { service, scope, id }
+    }
+
+    /// Request to a service, by the hash of its content.
+    pub fn request(service: u64, id: u64) -> Self {
+        let scope = Scope::Request;
+        Self { service, scope, id }
+    }
+
+    /// Suspect of a service by its text; `None` if it is none.
+    pub fn parse(service: u64, text: &str) -> Option<Self> {
+        let id = |text| u64::from_str_radix(text, 16).ok();
+        match text.strip_prefix(REQUEST_MARK) {
+            Some(text) => Some(Self::request(service, id(text)?)),
+            None => Some(Self::part(service, id(text)?)),
+        }
+    }
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.scope {
+            Scope::Part => write!(f, "{:x}", self.id),
+            Scope::Request => write!(f, "{REQUEST_MARK}{:016x}", self.id),
+        }
+    }
+}
+
 /// Segments of a prompt that other requests may share: all but the last one, which belongs to the request itself
 /// or to its session.
 pub fn shared_parts(segments: &[Segment]) -> &[Segment] {
     segments.split_last().map_or(&[], |(_, shared)| shared)
 }
 
-/// Parts of a prompt to a service that other requests may share, each once.
-pub fn parts(service: &str, segments: &[Segment]) -> Vec<Part> {
-    let service = digest(service.as_bytes());
+/// What may be guilty in a request to a service: the parts of its prompt that other requests may share, each
+/// once, and the request itself, by the hash of its content. Sorted, so that the request is last.
+pub fn suspects(service: &str, segments: &[Segment], content: u64) -> Vec<Suspect> {
     let shared = shared_parts(segments);
     let of_end = &shared[shared.len().saturating_sub(MAX_PARTS)..];
-    let mut parts: Vec<Part> = of_end
-        .iter()
-        .map(|segment| Part {
-            service,
-            id: segment.id,
-        })
-        .collect();
-    parts.sort_unstable();
-    parts.dedup();
-    parts
+    sorted_suspects(
+        digest(service.as_bytes()),
+        content,
+        of_end.iter().map(|segment| segment.id),
+    )
+}
+
+fn sorted_suspects(service: u64, content: u64, parts: impl Iterator<Item = u64>) -> Vec<Suspect> {
+    let mut suspects: Vec<Suspect> = parts.map(|id| Suspect::part(service, id)).collect();
+    suspects.push(Suspect::request(service, content));
+    suspects.sort_unstable();
+    suspects.dedup();
+    suspects
 }
 
 plain! {
@@ -139,7 +197,7 @@
 /// A question to all hosts whether requests with a part have been answered.
 #[derive(Clone, Copy, Debug)]
 struct Hearing {
-    part: Part,
+    part: Suspect,
     began: Moment,
     asked_at: Moment,
     /// Number of crashes when the hosts were last asked.
@@ -194,8 +252,10 @@
     /// Runners that were found to have crashed, and when.
     crashed: Vec<(u64, Moment)>,
     hearings: Vec<Hearing>,
+    /// Requests that any host was asked about, and until when they are held.
+    suspicions: Vec<(Suspect, Moment)>,
     to_tell: Vec<Witness>,
-    to_ask: Vec<Part>,
+    to_ask: Vec<Suspect>,
     unconfirmed: Vec<Unconfirmed>,
     /// What the others have to learn from the store.
     outgoing: Outgoing,
@@ -212,7 +272,7 @@
     /// A part that was found to crash runners.
     pub struct Verdict {
         /// The part.
-        pub part: Part,
+        pub part: Suspect,
         /// The crashes in which it was found.
         pub tally: Tally,
     }
@@ -247,17 +307,42 @@
         for Break { end, witness, .. } in of_runner {
             match (has_crashed, end) {
                 (true, _) => self.add_witness(now, witness),
-                (false, End::Unmarked) => self.record_answer(now, &witness.parts),
+                (false, End::Unmarked) => self.record_answer(now, &witness.suspects),
                 (false, End::Broken) => {}
             }
         }
         count
     }
 
-    /// Records that a request with these parts was answered completely.
-    pub fn record_answer(&mut self, now: Moment, parts: &[Part]) {
-        for part in parts {
-            self.answers.record(now, *part);
+    /// Records that a request with these suspects was answered completely.
+    pub fn record_answer(&mut self, now: Moment, suspects: &[Suspect]) {
+        for suspect in suspects {
+            self.answers.record(now, *suspect);
+        }
+        if !self.suspicions.is_empty() {
+            self.suspicions.retain(|(held, _)| !suspects.contains(held));
+        }
+    }
+
+    /// Until when a request is held back, as hosts are being asked about it; `None` if it is not, or if it is
+    /// refused anyway.
+    pub fn held_until(&self, now: Moment, suspects: &[Suspect]) -> Option<Moment> {
+        if self.suspicions.is_empty() || self.quarantine.find(suspects).is_some() {
+            return None;
+        }
+        let is_held = |(held, until): &&(Suspect, Moment)| suspects.contains(held) && !now.reached(*until);
+        self.suspicions.iter().find(is_held).map(|(_, until)| *until)
+    }
+
+    /// Holds a request back until the hosts have been heard about it.
+    fn hold(&mut self, now: Moment, suspect: Suspect) {
+        if suspect.scope != Scope::Request {
+            return;
+        }
+        self.suspicions
+            .retain(|(held, until)| *held != suspect && !now.reached(*until));
+        if self.suspicions.len() < MAX_SUSPICIONS {
+            self.suspicions.push((suspect, now + SUSPICION_TIME));
         }
     }
 
@@ -269,12 +354,13 @@
     }
 
     /// Whether all parts of a request have lately been in requests that were answered.
-    pub fn is_proved(&self, now: Moment, parts: &[Part]) -> bool {
-        let is_proved = |part: &Part| {
+    pub fn is_proved(&self, now: Moment, suspects: &[Suspect]) -> bool {
+        let is_proved = |part: &Suspect| {
             let answered = self.answers.last(*part);
             answered.is_some_and(|at| now.since(at) < PROOF_LIFE)
         };
-        parts.iter().all(is_proved)
+        let mut parts = suspects.iter().filter(|suspect| suspect.scope == Scope::Part);
+        parts.all(is_proved)
     }
 
     /// Sets the live hosts, of which some are the collectors.
@@ -298,7 +384,7 @@
             return Vec::new();
         }
         let quarantine = &self.quarantine;
-        let is_explained = |part: Part| quarantine.holds(part);
+        let is_explained = |part: Suspect| quarantine.holds(part);
         let suspects = self.evidence.suspects(&self.answers, is_explained);
         self.hearings.retain(|hearing| {
             let is_suspect = suspects.iter().any(|suspect| suspect.part == hearing.part);
@@ -307,9 +393,13 @@
         let mut proved: Vec<(f64, bool, Verdict)> = Vec::new();
         for Verdict { part, tally } in suspects {
             let runners = runners(part.service);
+            // Requests that meet crashes by chance are many while many runners crash.
+            if part.scope == Scope::Request && !tally.is_near_proof(runners) {
+                continue;
+            }
             let was_sound = self.answers.last(part).is_some();
             let is_heard = self.hear(now, part, &tally);
-            if tally.is_proof(runners, was_sound, is_heard) {
+            if tally.is_proof(part.scope, runners, was_sound, is_heard) {
                 let is_final = has_started && self.has_last_answers(now, part, &tally, was_sound);
                 proved.push((tally.log_ratio(runners), is_final, Verdict { part, tally }));
             }
@@ -327,7 +417,7 @@
     }
 
     /// Asks the other hosts about a suspect part, if that is due; returns whether most have answered.
-    fn hear(&mut self, now: Moment, part: Part, tally: &Tally) -> bool {
+    fn hear(&mut self, now: Moment, part: Suspect, tally: &Tally) -> bool {
         let found = self.hearings.iter().position(|hearing| hearing.part == part);
         match found {
             Some(at) => {
@@ -362,7 +452,7 @@
 
     /// Whether the other hosts have been heard to the end about a part that is proved guilty by what is known:
     /// they are asked once more right before the verdict.
-    fn has_last_answers(&mut self, now: Moment, part: Part, tally: &Tally, was_sound: bool) -> bool {
+    fn has_last_answers(&mut self, now: Moment, part: Suspect, tally: &Tally, was_sound: bool) -> bool {
         let others = self.others;
         let Some(hearing) = self.hearings.iter_mut().find(|hearing| hearing.part == part) else {
             return false;
@@ -418,7 +508,9 @@
             }
         }
         if !self.to_ask.is_empty() {
-            let asked = Message::asked(&std::mem::take(&mut self.to_ask));
+            let to_ask = std::mem::take(&mut self.to_ask);
+            to_ask.iter().for_each(|suspect| self.hold(now, *suspect));
+            let asked = Message::asked(&to_ask);
             messages.extend(others.iter().map(|host| (host.address, asked.clone())));
         }
         let found = self.quarantine.take_announcements(now);
@@ -445,7 +537,8 @@
         if message.answers_question {
             self.hearings.iter_mut().for_each(|hearing| hearing.replies += 1);
         }
-        let known = |part: Part| self.answers.last(part).map(|at| (part, at));
+        message.questions().for_each(|suspect| self.hold(now, suspect));
+        let known = |part: Suspect| self.answers.last(part).map(|at| (part, at));
         Message::answer(now, message, message.questions().filter_map(known))
     }
 
@@ -455,8 +548,8 @@
     pub fn apply_records(
         &mut self,
         now: Moment,
-        stored: Vec<(Part, Entry, Record)>,
-    ) -> (Vec<Record>, Vec<Part>) {
+        stored: Vec<(Suspect, Entry, Record)>,
+    ) -> (Vec<Record>, Vec<Suspect>) {
         let (begun, ended) = self.quarantine.apply(now, stored);
         self.record_answer(now, &ended);
         (begun, ended)
@@ -485,7 +578,7 @@
         }
         for witness in report.witnesses(now, unix_ms) {
             self.evidence.add(now, &witness);
-            for part in &witness.parts {
+            for part in &witness.suspects {
                 let answered = self.answers.last(*part).filter(|at| at.reached(witness.at));
                 if let Some(at) = answered
                     && (self.is_collector || self.others < FEW_HOSTS)
--- a/crates/core/src/proxy/crash/answers.rs
+++ b/crates/core/src/proxy/crash/answers.rs
@@ -1,23 +1,43 @@
-//! When requests with each part of a prompt were last answered.
+//! When requests with each suspect were last answered.
 //!
-//! Only a complete answer counts: its head and its first events may come just before the crash.
+//! Only a complete answer counts: its head and its first events may come just before the crash. Requests are
+//! mostly answered once, so only the latest of them are kept, in order.
 
-use super::Part;
+use std::collections::VecDeque;
+
+use super::{Scope, Suspect};
 use crate::time::Moment;
 
 /// Maximum number of parts; those answered longest ago are dropped first.
 const MAX_PARTS: usize = 8_192;
 
-/// Last answer by part.
+/// Maximum number of answered requests.
+const MAX_REQUESTS: usize = 2_048;
+
+/// Last answer by suspect.
 #[derive(Clone, Debug, Default)]
 pub struct Answers {
     /// Sorted by part.
-    rows: Vec<(Part, Moment)>,
+    rows: Vec<(Suspect, Moment)>,
+    /// Requests, in the order in which this host learnt of their answers.
+    requests: VecDeque<(Suspect, Moment)>,
 }
 
 impl Answers {
-    /// Records that a request with the part was answered completely.
-    pub fn record(&mut self, at: Moment, part: Part) {
+    /// Records that a request with the suspect was answered completely.
+    pub fn record(&mut self, at: Moment, suspect: Suspect) {
+        match suspect.scope {
+            Scope::Part => self.record_part(at, suspect),
+            Scope::Request => {
+                if self.requests.len() >= MAX_REQUESTS {
+                    self.requests.pop_front();
+                }
+                self.requests.push_back((suspect, at));
+            }
+        }
+    }
+
+    fn record_part(&mut self, at: Moment, part: Suspect) {
         match self.position(part) {
             Ok(found) => {
                 let last = &mut self.rows[found].1;
@@ -34,22 +54,28 @@
         }
     }
 
-    /// When a request with the part was last answered.
-    pub fn last(&self, part: Part) -> Option<Moment> {
-        self.position(part).ok().map(|at| self.rows[at].1)
+    /// When a request with the suspect was last answered.
+    pub fn last(&self, suspect: Suspect) -> Option<Moment> {
+        match suspect.scope {
+            Scope::Part => self.position(suspect).ok().map(|at| self.rows[at].1),
+            Scope::Request => {
+                let same = self.requests.iter().filter(|(request, _)| *request == suspect);
+                same.map(|(_, at)| *at).max_by_key(|at| at.mono_us)
+            }
+        }
     }
 
-    /// Number of parts.
+    /// Number of parts and requests.
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.rows.len() + self.requests.len()
     }
 
-    /// Whether no part is known.
+    /// Whether none is known.
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.rows.is_empty() && self.requests.is_empty()
     }
 
-    fn position(&self, part: Part) -> Result<usize, usize> {
+    fn position(&self, part: Suspect) -> Result<usize, usize> {
         self.rows.binary_search_by_key(&part, |(have, _)| *have)
     }
 
--- a/crates/core/src/proxy/crash/evidence.rs
+++ b/crates/core/src/proxy/crash/evidence.rs
@@ -9,7 +9,7 @@
 
 use super::answers::Answers;
 use super::report::StoredWitness;
-use super::{Part, Verdict};
+use super::{Scope, Suspect, Verdict};
 use crate::time::Moment;
 
 /// Time for which a crash is remembered.
@@ -22,7 +22,7 @@
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Maximum number of requests that a host writes to the store at once.
 pub const MAX_STORED: usize = 16;
-/// Minimum number of crashes for a hearing, maximum number of parts that are heard at the same time, and
+/// Minimum number of crashes for a hearing, maximum number of suspects of each scope that are heard at the same time, and
 /// minimum number of crashes for a quarantine.
 const SUSPECT_CRASHES: u32 = 2;
 const MAX_SUSPECTS: usize = 32;
@@ -33,6 +33,8 @@
 /// which requests were answered before, or if few other hosts could be heard.
 const PROOF_RATIO: f64 = 13.8;
 const HIGHER_PROOF_RATIO: f64 = 18.4;
+/// The same for a part, of the crashes that remain without those of any single request.
+const BESIDE_ONE_RATIO: f64 = 6.9;
 /// Time that a request spends on its runner, and the shortest one that counts.
 const REQUEST_TIME: Duration = Duration::from_secs(2);
 const MIN_EXPOSURE: Duration = Duration::from_millis(250);
@@ -47,10 +49,12 @@
     pub struct Witness {
         /// Hash of the runner's id.
         pub runner: u64,
-        /// Identifies the request over all of its attempts.
+        /// Hash of the name of its service.
+        pub service: u64,
+        /// Hash of its content, which is the same for all of its attempts.
         pub request: u64,
-        /// Parts of its prompt that other requests may share, sorted.
-        pub parts: Vec<Part>,
+        /// What may be guilty in it, sorted.
+        pub suspects: Vec<Suspect>,
         /// When it broke off.
         pub at: Moment,
         /// Time from the head of its answer until then; zero if there was none.
@@ -59,13 +63,41 @@
 }
 
 impl Witness {
+    /// A request with these parts of its prompt that was on `runner`.
+    pub fn new(
+        runner: u64,
+        service: u64,
+        request: u64,
+        parts: impl Iterator<Item = u64>,
+        at: Moment,
+        answering: Duration,
+    ) -> Self {
+        Self {
+            runner,
+            service,
+            request,
+            suspects: super::sorted_suspects(service, request, parts.take(super::MAX_PARTS)),
+            at,
+            answering,
+        }
+    }
+
+    /// Ids of the parts of its prompt.
+    pub(super) fn parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let parts = self
+            .suspects
+            .iter()
+            .filter(|suspect| suspect.scope == Scope::Part);
+        parts.map(|part| part.id)
+    }
+
     /// The request as stored; it broke off at `at_ms` by the wall clock.
     pub(super) fn stored(&self, at_ms: u64) -> StoredWitness {
         StoredWitness {
             runner: self.runner,
             request: self.request,
-            service: self.parts.first().map_or(0, |part| part.service),
-            parts: self.parts.iter().map(|part| part.id).collect(),
+            service: self.service,
+            parts: self.parts().collect(),
             at_ms,
             answering_ms: self.answering.as_millis() as u64,
         }
@@ -81,10 +113,10 @@
 }
 
 impl Crash {
-    fn has(&self, part: Part) -> bool {
+    fn has(&self, part: Suspect) -> bool {
         self.witnesses
             .iter()
-            .any(|witness| witness.parts.binary_search(&part).is_ok())
+            .any(|witness| witness.suspects.binary_search(&part).is_ok())
     }
 
     fn has_request(&self, request: u64) -> bool {
@@ -92,8 +124,7 @@
     }
 
     fn is_of(&self, service: u64) -> bool {
-        let mut parts = self.witnesses.iter().flat_map(|witness| &witness.parts);
-        parts.any(|part| part.service == service)
+        self.witnesses.iter().any(|witness| witness.service == service)
     }
 }
 
@@ -105,8 +136,8 @@
         pub crashes: u32,
         /// Different requests with it in these.
         pub requests: u32,
-        /// Whether one of these requests was in all of the crashes.
-        pub is_of_one_request: bool,
+        /// Crashes that remain without those of the request that was in most of them.
+        pub beside_one_request: u32,
         /// Crashes without the part in the same time.
         pub others: u32,
         /// First crash with the part.
@@ -131,12 +162,22 @@
 
     /// Natural logarithm of how much likelier the crashes are if the part causes them.
     pub fn log_ratio(&self, runners: usize) -> f64 {
-        -f64::from(self.crashes) * self.crash_rate(runners).ln()
+        self.log_ratio_of(self.crashes, runners)
+    }
+
+    /// The same for this number of its crashes.
+    fn log_ratio_of(&self, crashes: u32, runners: usize) -> f64 {
+        -f64::from(crashes) * self.crash_rate(runners).ln()
     }
 
-    /// Whether the part causes the crashes, as none of its requests has been answered since the first one;
+    /// Whether one more crash would be enough for a verdict.
+    pub fn is_near_proof(&self, runners: usize) -> bool {
+        self.log_ratio_of(self.crashes + 1, runners) >= PROOF_RATIO
+    }
+
+    /// Whether a suspect causes the crashes, as none of its requests has been answered since the first one;
     /// `was_sound` if one had been answered before, and `is_heard` if most hosts have said so.
-    pub fn is_proof(&self, runners: usize, was_sound: bool, is_heard: bool) -> bool {
+    pub fn is_proof(&self, scope: Scope, runners: usize, was_sound: bool, is_heard: bool) -> bool {
         let required = match was_sound || !is_heard {
             true => HIGHER_PROOF_RATIO,
             false => PROOF_RATIO,
@@ -145,10 +186,13 @@
             true => PROOF_CRASHES,
             false => PROOF_CRASHES_UNHEARD,
         };
-        // A single request, sent again after each crash, may have caused all of them by another of its parts,
-        // also those that a request beside it met.
-        let is_repeated = self.crashes >= crashes && !self.is_of_one_request;
-        is_repeated && self.log_ratio(runners) >= required
+        // A single request, sent again after each crash, may have caused most of them by another of its parts,
+        // and the others may be chance. That is no reason to spare the request.
+        let is_of_several = match scope {
+            Scope::Part => self.log_ratio_of(self.beside_one_request, runners) >= BESIDE_ONE_RATIO,
+            Scope::Request => true,
+        };
+        is_of_several && self.crashes >= crashes && self.log_ratio(runners) >= required
     }
 }
 
@@ -219,11 +263,13 @@
 
     /// Crashes with a part since its last answer, and those without it; crashes with a part that
     /// `is_explained` are left out.
-    pub fn tally(&self, part: Part, answers: &Answers, is_explained: impl Fn(Part) -> bool) -> Tally {
+    pub fn tally(&self, part: Suspect, answers: &Answers, is_explained: impl Fn(Suspect) -> bool) -> Tally {
         let answered = answers.last(part);
+        // A request under quarantine may have crashed runners by a part of it, so it explains no crashes with that.
+        let may_explain = |other: &&Suspect| other.scope == Scope::Part || part.scope == Scope::Request;
         let is_open = |crash: &&Crash| {
-            let mut parts = crash.witnesses.iter().flat_map(|witness| &witness.parts);
-            crash.is_of(part.service) && !parts.any(|part| is_explained(*part))
+            let suspects = crash.witnesses.iter().flat_map(|witness| &witness.suspects);
+            crash.is_of(part.service) && !suspects.filter(may_explain).any(|other| is_explained(*other))
         };
         let is_since_answer = |crash: &Crash| answered.is_none_or(|at| crash.at.reached(at));
         let open: Vec<&Crash> = self.crashes.iter().filter(is_open).collect();
@@ -239,17 +285,18 @@
         };
         let others = open.iter().filter(is_between).filter(|crash| !crash.has(part));
         let witnesses = with_part().flat_map(|crash| &crash.witnesses);
-        let with_part_requests = witnesses.filter(|witness| witness.parts.binary_search(&part).is_ok());
+        let with_part_requests = witnesses.filter(|witness| witness.suspects.binary_search(&part).is_ok());
         let with_part_requests: Vec<&Witness> = with_part_requests.collect();
         let answering = with_part_requests.iter().map(|witness| witness.answering).max();
         let mut requests: Vec<u64> = with_part_requests.iter().map(|witness| witness.request).collect();
         requests.sort_unstable();
         requests.dedup();
-        let is_in_all = |request: &u64| with_part().all(|crash| crash.has_request(*request));
+        let crashes_of = |request: &u64| with_part().filter(|crash| crash.has_request(*request)).count();
+        let most_of_one = requests.iter().map(crashes_of).max().unwrap_or_default();
         Tally {
             crashes: with_part().count() as u32,
             requests: requests.len() as u32,
-            is_of_one_request: requests.iter().any(is_in_all),
+            beside_one_request: (with_part().count() - most_of_one) as u32,
             others: others.count() as u32,
             first: first.at,
             span: last.at.since(first.at),
@@ -259,22 +306,24 @@
 
     /// Parts that were found in several crashes since they were last answered, at most a few of those that
     /// were found most often.
-    pub fn suspects(&self, answers: &Answers, is_explained: impl Fn(Part) -> bool) -> Vec<Verdict> {
-        let mut found: Vec<(Part, usize)> = Vec::new();
+    pub fn suspects(&self, answers: &Answers, is_explained: impl Fn(Suspect) -> bool) -> Vec<Verdict> {
+        let mut found: Vec<(Suspect, usize)> = Vec::new();
         for (index, crash) in self.crashes.iter().enumerate() {
-            let parts = crash.witnesses.iter().flat_map(|witness| &witness.parts);
+            let parts = crash.witnesses.iter().flat_map(|witness| &witness.suspects);
             let unanswered = parts.filter(|part| answers.last(**part).is_none_or(|at| crash.at.reached(at)));
             found.extend(unanswered.map(|part| (*part, index)));
         }
         found.sort_unstable();
         found.dedup();
-        let mut counts: Vec<(usize, Part)> = found
+        let mut counts: Vec<(usize, Suspect)> = found
             .chunk_by(|one, other| one.0 == other.0)
             .map(|crashes| (crashes.len(), crashes[0].0))
             .filter(|(count, _)| *count >= SUSPECT_CRASHES as usize)
             .collect();
-        counts.sort_unstable_by_key(|(count, part)| (std::cmp::Reverse(*count), *part));
-        let tallies = counts.iter().take(MAX_SUSPECTS).map(|(_, part)| Verdict {
+        counts.sort_unstable_by_key(|(count, part)| (part.scope, std::cmp::Reverse(*count), *part));
+        let of_scope = counts.chunk_by(|one, other| one.1.scope == other.1.scope);
+        let most_often = of_scope.flat_map(|counts| counts.iter().take(MAX_SUSPECTS));
+        let tallies = most_often.map(|(_, part)| Verdict {
             part: *part,
             tally: self.tally(*part, answers, &is_explained),
         });
@@ -285,9 +334,9 @@
 
     /// Requests with a part that were on runners when they crashed, the last ones of which hosts write to the
     /// store.
-    pub fn witnesses(&self, part: Part) -> Vec<Witness> {
+    pub fn witnesses(&self, part: Suspect) -> Vec<Witness> {
         let witnesses = self.crashes.iter().rev().flat_map(|crash| &crash.witnesses);
-        let with_part = witnesses.filter(|witness| witness.parts.binary_search(&part).is_ok());
+        let with_part = witnesses.filter(|witness| witness.suspects.binary_search(&part).is_ok());
         with_part.take(MAX_STORED).cloned().collect()
     }
 }
--- a/crates/core/src/proxy/crash/message.rs
+++ b/crates/core/src/proxy/crash/message.rs
@@ -2,26 +2,29 @@
 
 use std::time::Duration;
 
-use super::Part;
 use super::evidence::Witness;
+use super::{Scope, Suspect};
 use crate::proxy::gossip::datagram::{self, Kind};
 use crate::time::Moment;
 
 /// Maximum number of entries of each list that are read from a message.
 const MAX_ENTRIES: usize = 256;
 
-/// Part of a prompt.
+/// Part of a prompt, or a request.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct PartEntry {
+pub struct SuspectEntry {
     /// Hash of the service's name.
     #[prost(fixed64, tag = "1")]
     pub service: u64,
-    /// Id that callers give it.
+    /// Id that callers give to the part, or hash of the request's content.
     #[prost(fixed64, tag = "2")]
     pub id: u64,
     /// Time since a request with it was answered, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Whether it is a request.
+    #[prost(bool, tag = "4")]
+    pub is_request: bool,
 }
 
 /// Request that was on a runner when it crashed.
@@ -30,7 +33,7 @@
     /// Hash of the runner's id.
     #[prost(fixed64, tag = "1")]
     pub runner: u64,
-    /// Identifies the request over all of its attempts.
+    /// Hash of the request's content, which is the same for all of its attempts.
     #[prost(fixed64, tag = "2")]
     pub request: u64,
     /// Hash of the service's name.
@@ -59,15 +62,15 @@
     /// Requests that were on runners when they crashed.
     #[prost(message, repeated, tag = "3")]
     pub told: Vec<WitnessEntry>,
-    /// Parts of which the sender wants to know whether requests were answered.
+    /// Suspects of which the sender wants to know whether requests were answered.
     #[prost(message, repeated, tag = "4")]
-    pub asked: Vec<PartEntry>,
-    /// Parts of which requests were answered.
+    pub asked: Vec<SuspectEntry>,
+    /// Suspects of which requests were answered.
     #[prost(message, repeated, tag = "5")]
-    pub answered: Vec<PartEntry>,
-    /// Parts that the sender has put under quarantine.
+    pub answered: Vec<SuspectEntry>,
+    /// Suspects that the sender has put under quarantine.
     #[prost(message, repeated, tag = "6")]
-    pub quarantined: Vec<PartEntry>,
+    pub quarantined: Vec<SuspectEntry>,
     /// Whether the message answers a question, with all that the sender knows.
     #[prost(bool, tag = "7")]
     pub answers_question: bool,
@@ -79,8 +82,8 @@
         let told = witnesses.iter().map(|witness| WitnessEntry {
             runner: witness.runner,
             request: witness.request,
-            service: witness.parts.first().map_or(0, |part| part.service),
-            parts: witness.parts.iter().map(|part| part.id).collect(),
+            service: witness.service,
+            parts: witness.parts().collect(),
             age_ms: millis(now.since(witness.at)),
             answering_ms: millis(witness.answering),
         });
@@ -91,24 +94,28 @@
         }
     }
 
-    /// Asks whether requests with these parts were answered.
-    pub(super) fn asked(parts: &[Part]) -> Self {
+    /// Asks whether requests with these suspects were answered.
+    pub(super) fn asked(parts: &[Suspect]) -> Self {
         Self {
             asked: parts.iter().map(|part| entry(*part, 0)).collect(),
             ..Self::default()
         }
     }
 
-    /// Tells of parts that were put under quarantine.
-    pub(super) fn found(parts: &[Part]) -> Self {
+    /// Tells of suspects that were put under quarantine.
+    pub(super) fn found(parts: &[Suspect]) -> Self {
         Self {
             quarantined: parts.iter().map(|part| entry(*part, 0)).collect(),
             ..Self::default()
         }
     }
 
-    /// Confirms a message, and tells when requests with parts were last answered.
-    pub(super) fn answer(now: Moment, message: &Self, answers: impl Iterator<Item = (Part, Moment)>) -> Self {
+    /// Confirms a message, and tells when requests with suspects were last answered.
+    pub(super) fn answer(
+        now: Moment,
+        message: &Self,
+        answers: impl Iterator<Item = (Suspect, Moment)>,
+    ) -> Self {
         let answered = answers.map(|(part, at)| entry(part, millis(now.since(at))));
         Self {
             confirmed: message.number,
@@ -136,51 +143,47 @@
     /// Requests that were on runners when they crashed.
     pub(super) fn witnesses(&self, now: Moment) -> impl Iterator<Item = Witness> + '_ {
         self.told.iter().take(MAX_ENTRIES).map(move |entry| {
-            let part = |id: &u64| Part {
-                service: entry.service,
-                id: *id,
-            };
-            let mut parts: Vec<Part> = entry.parts.iter().take(super::MAX_PARTS).map(part).collect();
-            parts.sort_unstable();
-            Witness {
-                runner: entry.runner,
-                request: entry.request,
-                parts,
-                at: before(now, entry.age_ms),
-                answering: Duration::from_millis(entry.answering_ms.into()),
-            }
+            Witness::new(
+                entry.runner,
+                entry.service,
+                entry.request,
+                entry.parts.iter().copied(),
+                before(now, entry.age_ms),
+                Duration::from_millis(entry.answering_ms.into()),
+            )
         })
     }
 
-    /// Parts that the sender asks about.
-    pub(super) fn questions(&self) -> impl Iterator<Item = Part> + '_ {
-        self.asked.iter().take(MAX_ENTRIES).map(part)
+    /// Suspects that the sender asks about.
+    pub(super) fn questions(&self) -> impl Iterator<Item = Suspect> + '_ {
+        self.asked.iter().take(MAX_ENTRIES).map(suspect)
     }
 
-    /// Parts of which requests were answered, and when.
-    pub(super) fn answers(&self, now: Moment) -> impl Iterator<Item = (Part, Moment)> + '_ {
+    /// Suspects of which requests were answered, and when.
+    pub(super) fn answers(&self, now: Moment) -> impl Iterator<Item = (Suspect, Moment)> + '_ {
         let answered = self.answered.iter().take(MAX_ENTRIES);
-        answered.map(move |entry| (part(entry), before(now, entry.age_ms)))
+        answered.map(move |entry| (suspect(entry), before(now, entry.age_ms)))
     }
 
-    /// Parts that the sender has put under quarantine.
-    pub(super) fn quarantined(&self) -> impl Iterator<Item = Part> + '_ {
-        self.quarantined.iter().take(MAX_ENTRIES).map(part)
+    /// Suspects that the sender has put under quarantine.
+    pub(super) fn quarantined(&self) -> impl Iterator<Item = Suspect> + '_ {
+        self.quarantined.iter().take(MAX_ENTRIES).map(suspect)
     }
 }
 
-fn entry(part: Part, age_ms: u32) -> PartEntry {
-    PartEntry {
-        service: part.service,
-        id: part.id,
+fn entry(suspect: Suspect, age_ms: u32) -> SuspectEntry {
+    SuspectEntry {
+        service: suspect.service,
+        id: suspect.id,
         age_ms,
+        is_request: suspect.scope == Scope::Request,
     }
 }
 
-fn part(entry: &PartEntry) -> Part {
-    Part {
-        service: entry.service,
-        id: entry.id,
+fn suspect(entry: &SuspectEntry) -> Suspect {
+    match entry.is_request {
+        true => Suspect::request(entry.service, entry.id),
+        false => Suspect::part(entry.service, entry.id),
     }
 }
 
--- a/crates/core/src/proxy/crash/quarantine.rs
+++ b/crates/core/src/proxy/crash/quarantine.rs
@@ -1,14 +1,15 @@
-//! Parts of prompts whose requests are refused, as they crash runners.
+//! Parts of prompts whose requests are refused, and single requests that are, as they crash runners.
 //!
-//! The record of a part stands in the platform's store. It ends when an operator removes the record, or when a
-//! probe is answered: a single request that one host sends after a pause. Hosts agree on the probe by
+//! The record stands in the platform's store. It ends when an operator removes the record. That of a part also
+//! ends when a probe is answered: a single request that one host sends after a pause. That of a request ends by
+//! age instead, as a probe could only be the request itself. Hosts agree on the probe by
 //! compare-and-swap of the record, which also counts it, so that all hosts together send no more than
 //! [`MAX_PROBES`].
 
 use std::time::Duration;
 
-use super::Part;
 use super::evidence::Tally;
+use super::{Scope, Suspect};
 use crate::store::Entry;
 use crate::time::Moment;
 
@@ -17,6 +18,8 @@
 /// Time from the record to the first probe, and factor by which each further pause is longer.
 const FIRST_PROBE_PAUSE: Duration = Duration::from_secs(120);
 const PAUSE_FACTOR: u32 = 10;
+/// Time from the record of a request to its end.
+const REQUEST_LIFE: Duration = Duration::from_secs(3_600);
 /// Time for which a part that another host has announced is refused without a record in the store.
 const TOLD_LIFE: Duration = Duration::from_secs(60);
 /// Time after which a part without a record is announced again.
@@ -31,7 +34,7 @@
     pub struct Record {
         /// Name of the service.
         pub service: String,
-        /// Id of the part, in hexadecimal.
+        /// Id of the part in hexadecimal, or the request.
         pub part: String,
         /// Host that has found it.
         pub found_by: String,
@@ -45,24 +48,28 @@
         pub other_crashes: u32,
         /// Number of probes so far.
         pub probes: u32,
-        /// When the next probe may be sent, in Unix milliseconds.
+        /// When the next probe may be sent, or the record of a request ends, in Unix milliseconds.
         pub next_probe_ms: u64,
     }
 }
 
 impl Record {
     /// Record of a part that this host has found.
-    pub fn new(service: &str, part: Part, found_by: &str, unix_ms: u64, tally: &Tally) -> Self {
+    pub fn new(service: &str, part: Suspect, found_by: &str, unix_ms: u64, tally: &Tally) -> Self {
+        let (probes, pause) = match part.scope {
+            Scope::Part => (0, FIRST_PROBE_PAUSE),
+            Scope::Request => (MAX_PROBES, REQUEST_LIFE),
+        };
         Self {
             service: service.to_string(),
-            part: format!("{:x}", part.id),
+            part: part.to_string(),
             found_by: found_by.to_string(),
             found_ms: unix_ms,
             crashes: tally.crashes,
             requests: tally.requests,
             other_crashes: tally.others,
-            probes: 0,
-            next_probe_ms: unix_ms + FIRST_PROBE_PAUSE.as_millis() as u64,
+            probes,
+            next_probe_ms: unix_ms + pause.as_millis() as u64,
         }
     }
 
@@ -79,11 +86,16 @@
         })
     }
 
+    /// Whether the record of a request has ended by its age.
+    pub fn is_outdated(&self, scope: Scope, unix_ms: u64) -> bool {
+        scope == Scope::Request && unix_ms >= self.next_probe_ms
+    }
+
     fn may_probe(&self, unix_ms: u64) -> bool {
         self.probes < MAX_PROBES && unix_ms >= self.next_probe_ms
     }
 
-    /// Time after which its callers may come back: the next probe, if there is one.
+    /// Time after which its callers may come back: the next probe, if there is one, or the end of the record.
     fn retry_after(&self, unix_ms: u64) -> Duration {
         let until_probe = Duration::from_millis(self.next_probe_ms.saturating_sub(unix_ms));
         match self.probes < MAX_PROBES {
@@ -105,7 +117,7 @@
 
 #[derive(Clone, Debug)]
 struct Row {
-    part: Part,
+    part: Suspect,
     stored: Option<Stored>,
     /// When this host last heard of it other than from the store.
     told_at: Moment,
@@ -137,17 +149,17 @@
 
 impl Quarantine {
     /// Whether requests with the part are refused.
-    pub fn holds(&self, part: Part) -> bool {
+    pub fn holds(&self, part: Suspect) -> bool {
         self.position(part).is_ok()
     }
 
-    /// First of these parts that is under quarantine.
-    pub fn find(&self, parts: &[Part]) -> Option<Part> {
-        parts.iter().copied().find(|part| self.holds(*part))
+    /// First of these suspects that is under quarantine.
+    pub fn find(&self, suspects: &[Suspect]) -> Option<Suspect> {
+        suspects.iter().copied().find(|suspect| self.holds(*suspect))
     }
 
     /// What happens to a request with a part; `None` if the part is not under quarantine.
-    pub fn action(&self, part: Part, unix_ms: u64) -> Option<Action> {
+    pub fn action(&self, part: Suspect, unix_ms: u64) -> Option<Action> {
         let row = &self.rows[self.position(part).ok()?];
         let Some(stored) = &row.stored else {
             return Some(Action::Refuse(FIRST_PROBE_PAUSE));
@@ -166,19 +178,19 @@
     }
 
     /// Records that this host has found a part.
-    pub fn record_found(&mut self, now: Moment, part: Part, record: Record) {
+    pub fn record_found(&mut self, now: Moment, part: Suspect, record: Record) {
         if let Some(row) = self.row(now, part) {
             row.own = Some((record, None));
         }
     }
 
     /// Records that another host has announced a part.
-    pub fn record_told(&mut self, now: Moment, part: Part) {
+    pub fn record_told(&mut self, now: Moment, part: Suspect) {
         self.row(now, part);
     }
 
     /// Row of a part, created if there is room.
-    fn row(&mut self, now: Moment, part: Part) -> Option<&mut Row> {
+    fn row(&mut self, now: Moment, part: Suspect) -> Option<&mut Row> {
         let at = match self.position(part) {
             Ok(at) => at,
             Err(_) if self.rows.len() >= MAX_PARTS => return None,
@@ -198,7 +210,7 @@
     }
 
     /// Parts that the other hosts have to be told of, as they do not stand in the store yet.
-    pub(super) fn take_announcements(&mut self, now: Moment) -> Vec<Part> {
+    pub(super) fn take_announcements(&mut self, now: Moment) -> Vec<Suspect> {
         let mut due = Vec::new();
         for row in &mut self.rows {
             if let Some((_, announced)) = &mut row.own
@@ -213,7 +225,7 @@
     }
 
     /// Records that this host has yet to write to the store.
-    pub fn unwritten(&self) -> impl Iterator<Item = (Part, &Record)> {
+    pub fn unwritten(&self) -> impl Iterator<Item = (Suspect, &Record)> {
         let own = |row: &'_ Row| row.own.is_some();
         self.rows
             .iter()
@@ -222,7 +234,7 @@
     }
 
     /// Records that a record stands in the store.
-    pub fn record_written(&mut self, now: Moment, part: Part) {
+    pub fn record_written(&mut self, now: Moment, part: Suspect) {
         if let Some(row) = self.row(now, part) {
             row.own = None;
         }
@@ -230,9 +242,13 @@
 
     /// Applies the records in the store; returns the parts that are under quarantine from now on, and those that
     /// are no longer.
-    pub fn apply(&mut self, now: Moment, stored: Vec<(Part, Entry, Record)>) -> (Vec<Record>, Vec<Part>) {
+    pub fn apply(
+        &mut self,
+        now: Moment,
+        stored: Vec<(Suspect, Entry, Record)>,
+    ) -> (Vec<Record>, Vec<Suspect>) {
         let mut begun = Vec::new();
-        let mut parts: Vec<Part> = Vec::with_capacity(stored.len());
+        let mut parts: Vec<Suspect> = Vec::with_capacity(stored.len());
         for (part, entry, record) in stored {
             parts.push(part);
             let is_new = !self
@@ -276,7 +292,7 @@
         self.rows.is_empty()
     }
 
-    fn position(&self, part: Part) -> Result<usize, usize> {
+    fn position(&self, part: Suspect) -> Result<usize, usize> {
         self.rows.binary_search_by_key(&part, |row| row.part)
     }
 }
--- a/crates/core/src/proxy/crash/report.rs
+++ b/crates/core/src/proxy/crash/report.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::Part;
 use super::evidence::{MAX_STORED, Witness};
+use super::{Scope, Suspect};
 use crate::time::Moment;
 
 /// Time for which an entry stays in a host's report, which each further report replaces.
@@ -16,7 +16,7 @@
     pub struct StoredWitness {
         /// Hash of the runner's id.
         pub runner: u64,
-        /// Identifies the request over all of its attempts.
+        /// Hash of the request's content, which is the same for all of its attempts.
         pub request: u64,
         /// Hash of the service's name.
         pub service: u64,
@@ -30,12 +30,15 @@
 }
 
 record! {
-    /// A part of which a request was answered, as stored.
+    /// A suspect of which a request was answered, as stored.
     pub struct StoredAnswer {
         /// Hash of the service's name.
         pub service: u64,
-        /// Id of the part.
+        /// Id of the part, or hash of the request's content.
         pub part: u64,
+        /// Whether it is a request.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub is_request: bool,
         /// When the request was answered, in Unix milliseconds.
         pub at_ms: u64,
     }
@@ -58,30 +61,25 @@
     /// Its crashes, as read at `now`, when the wall clock showed `unix_ms`.
     pub(super) fn witnesses(&self, now: Moment, unix_ms: u64) -> impl Iterator<Item = Witness> + '_ {
         self.crashes.iter().take(MAX_STORED).map(move |stored| {
-            let part = |id: &u64| Part {
-                service: stored.service,
-                id: *id,
-            };
-            let mut parts: Vec<Part> = stored.parts.iter().take(super::MAX_PARTS).map(part).collect();
-            parts.sort_unstable();
-            Witness {
-                runner: stored.runner,
-                request: stored.request,
-                parts,
-                at: moment(now, unix_ms, stored.at_ms),
-                answering: Duration::from_millis(stored.answering_ms),
-            }
+            Witness::new(
+                stored.runner,
+                stored.service,
+                stored.request,
+                stored.parts.iter().copied(),
+                moment(now, unix_ms, stored.at_ms),
+                Duration::from_millis(stored.answering_ms),
+            )
         })
     }
 
     /// Its answers, as read at `now`, when the wall clock showed `unix_ms`.
-    pub(super) fn answers(&self, now: Moment, unix_ms: u64) -> impl Iterator<Item = (Part, Moment)> + '_ {
+    pub(super) fn answers(&self, now: Moment, unix_ms: u64) -> impl Iterator<Item = (Suspect, Moment)> + '_ {
         self.answers.iter().take(MAX_STORED).map(move |stored| {
-            let part = Part {
-                service: stored.service,
-                id: stored.part,
+            let suspect = match stored.is_request {
+                true => Suspect::request(stored.service, stored.part),
+                false => Suspect::part(stored.service, stored.part),
             };
-            (part, moment(now, unix_ms, stored.at_ms))
+            (suspect, moment(now, unix_ms, stored.at_ms))
         })
     }
 }
@@ -94,7 +92,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outgoing {
     witnesses: Vec<(Moment, Witness)>,
-    answers: Vec<(Moment, Part, Moment)>,
+    answers: Vec<(Moment, Suspect, Moment)>,
     has_changed: bool,
 }
 
@@ -111,14 +109,14 @@
     }
 
     /// Adds an answer.
-    pub fn add_answer(&mut self, now: Moment, part: Part, at: Moment) {
+    pub fn add_answer(&mut self, now: Moment, part: Suspect, at: Moment) {
         self.answers.retain(|(_, known, _)| *known != part);
         self.answers.push((now, part, at));
         self.has_changed = true;
     }
 
     /// Whether the report has an answer to a part that came at `since` or later.
-    pub fn has_answer(&self, part: Part, since: Moment) -> bool {
+    pub fn has_answer(&self, part: Suspect, since: Moment) -> bool {
         let mut answers = self.answers.iter();
         answers.any(|(_, known, at)| *known == part && at.reached(since))
     }
@@ -141,6 +139,7 @@
                 .map(|(_, part, at)| StoredAnswer {
                     service: part.service,
                     part: part.id,
+                    is_request: part.scope == Scope::Request,
                     at_ms: unix(*at),
                 })
                 .collect(),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -121,7 +121,7 @@
     pub known_origins: Gauge,
     /// Crashes of runners while they answered requests of this host.
     pub runner_crashes: Counter,
-    /// Parts of prompts that this host has found to crash runners.
+    /// Parts of prompts and requests that this host has found to crash runners.
     pub quarantines: Counter,
     /// Parts of prompts whose requests are refused.
     pub quarantined_parts: Gauge,
@@ -274,7 +274,7 @@
         );
         registry.register(
             "quarantines",
-            "Parts of prompts that this host has found to crash runners",
+            "Parts of prompts and requests that this host has found to crash runners",
             self.quarantines.clone(),
         );
         registry.register(
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -154,10 +154,11 @@
     wait_for_start(&shared, caller_timeout).await;
     let admission = admit(&shared, &parts, &metadata)
         .map_err(|refusal| log_refusal(&shared, Some(&metadata), refusal))?;
+    let content = job::content(&parts, &metadata, admission.customer.as_deref(), &body);
     let job = Job {
         deadline: deadline(arrived, &metadata, &admission),
-        parts_of_prompt: crash::parts(&admission.service, &metadata.prompt_segments),
-        content: job::content(&parts, &metadata, admission.customer.as_deref(), &body),
+        suspects: crash::suspects(&admission.service, &metadata.prompt_segments, content),
+        content,
         parts,
         metadata,
         body,
--- a/crates/entry/src/proxy/acquire.rs
+++ b/crates/entry/src/proxy/acquire.rs
@@ -18,6 +18,11 @@
 /// be sound.
 const UNPROVED_HOLD: Duration = Duration::from_millis(400);
 
+/// Longest time for which a request is held back while hosts are asked about it, and time between two looks at
+/// what they have said.
+const MAX_SUSPECT_HOLD: Duration = Duration::from_secs(2);
+const SUSPECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A request that waits for room; dropping it lets the next one try.
 struct Waiter<'a> {
     shared: &'a Shared,
@@ -53,6 +58,7 @@
     /// The same.
     pub async fn acquire_slot(&self, job: &Job, log: &mut AttemptLog) -> Result<Slot, Refusal> {
         self.hold_unproved(job, log).await;
+        self.hold_suspect(job).await;
         let admission = &job.admission;
         let goes_behind = || {
             self.shared
@@ -89,13 +95,39 @@
     /// time its parts are found, if they are guilty. Requests whose parts were all answered lately do not wait.
     async fn hold_unproved(&self, job: &Job, log: &AttemptLog) {
         let now = self.shared.now();
-        let is_proved = || self.shared.state().crashes.is_proved(now, &job.parts_of_prompt);
+        let is_proved = || self.shared.state().crashes.is_proved(now, &job.suspects);
         if log.history.may_have_run() && !is_proved() {
             let time_left = job.time_left(now).unwrap_or(UNPROVED_HOLD);
             tokio::time::sleep(UNPROVED_HOLD.min(time_left / 4)).await;
         }
     }
 
+    /// Holds a request back while hosts are being asked whether it crashes runners. The check before it is sent
+    /// refuses it if it does.
+    async fn hold_suspect(&self, job: &Job) {
+        let began = self.shared.now();
+        let limit = job.time_left(began).unwrap_or(MAX_SUSPECT_HOLD) / 4;
+        let give_up_at = began + limit.min(MAX_SUSPECT_HOLD);
+        loop {
+            let now = self.shared.now();
+            let held_until = self.shared.state().crashes.held_until(now, &job.suspects);
+            let Some(until) = held_until.filter(|_| !now.reached(give_up_at)) else {
+                break;
+            };
+            let wait = now.until(until).min(now.until(give_up_at));
+            tokio::time::sleep(wait.min(SUSPECT_CHECK_INTERVAL)).await;
+        }
+        let held_ms = self.shared.now().since(began).as_millis() as u64;
+        if held_ms > 0 {
+            tracing::info!(
+                event = "suspect-held",
+                request = job.metadata.id,
+                content = job.logged_content(),
+                held_ms
+            );
+        }
+    }
+
     fn is_brittle(&self, job: &Job) -> bool {
         let now = self.shared.now();
         self.shared.state().fleet.is_brittle(now, &job.admission.service)
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -9,7 +9,7 @@
 use radishstair_core::proxy::crash::evidence::Witness;
 use radishstair_core::proxy::crash::message::Message;
 use radishstair_core::proxy::crash::quarantine::{Action, Record};
-use radishstair_core::proxy::crash::{Check, End, Part, Verdict};
+use radishstair_core::proxy::crash::{Check, End, Scope, Suspect, Verdict};
 use radishstair_core::proxy::fleet::Way;
 use radishstair_core::proxy::readers::Host;
 use radishstair_core::store::{Answer, Call};
@@ -40,7 +40,7 @@
 /// Records that a runner has broken off an answer, or that an answer has ended without a mark. If the runner no
 /// longer accepts connections, it counts as crashed. `head_at` is when the head of the answer was received.
 pub(super) fn record_end(job: &Job, slot: &Slot, end: End, head_at: Option<Moment>) {
-    if job.parts_of_prompt.is_empty() || slot.way == Way::Relayed {
+    if slot.way == Way::Relayed {
         return;
     }
     let shared = &slot.shared;
@@ -62,19 +62,16 @@
 
 /// Records that a request was answered completely.
 pub(super) fn record_answer(shared: &Shared, job: &Job) {
-    if !job.parts_of_prompt.is_empty() {
-        let now = shared.now();
-        shared.state().crashes.record_answer(now, &job.parts_of_prompt);
-    }
+    let now = shared.now();
+    shared.state().crashes.record_answer(now, &job.suspects);
 }
 
 fn witness(now: Moment, job: &Job, runner: u64, head_at: Option<Moment>) -> Witness {
-    // A caller that repeats a request changes its id, but not its prompt.
-    let own = job.metadata.prompt_segments.last().map(|segment| segment.id);
     Witness {
         runner,
-        request: own.unwrap_or_else(|| digest(job.metadata.id.as_bytes())),
-        parts: job.parts_of_prompt.clone(),
+        service: digest(job.admission.service.as_bytes()),
+        request: job.content,
+        suspects: job.suspects.clone(),
         at: now,
         answering: head_at.map_or(Duration::ZERO, |head_at| now.since(head_at)),
     }
@@ -103,7 +100,7 @@
 /// # Errors
 ///
 /// The refusal for the caller.
-pub(super) async fn admit(shared: &Shared, store: &Client, job: &Job) -> Result<Option<Part>, Refusal> {
+pub(super) async fn admit(shared: &Shared, store: &Client, job: &Job) -> Result<Option<Suspect>, Refusal> {
     let Some((part, action)) = action(shared, job) else {
         return Ok(None);
     };
@@ -133,10 +130,10 @@
     }
 }
 
-fn action(shared: &Shared, job: &Job) -> Option<(Part, Action)> {
+fn action(shared: &Shared, job: &Job) -> Option<(Suspect, Action)> {
     let unix_ms = shared.wall_clock_ms(shared.now());
     let state = shared.state();
-    let part = state.crashes.quarantine.find(&job.parts_of_prompt)?;
+    let part = state.crashes.quarantine.find(&job.suspects)?;
     let action = state.crashes.quarantine.action(part, unix_ms)?;
     Some((part, action))
 }
@@ -146,7 +143,7 @@
 /// # Errors
 ///
 /// The refusal for the caller.
-pub(super) fn check(shared: &Shared, job: &Job, probe: Option<Part>) -> Result<(), Refusal> {
+pub(super) fn check(shared: &Shared, job: &Job, probe: Option<Suspect>) -> Result<(), Refusal> {
     match action(shared, job) {
         Some((part, Action::Refuse(after))) if probe != Some(part) => Err(refusal(part, after)),
         Some((part, Action::Probe { .. })) if probe != Some(part) => Err(refusal(part, IDLE_INTERVAL)),
@@ -154,14 +151,21 @@
     }
 }
 
-fn refusal(part: Part, after: Duration) -> Refusal {
+fn refusal(part: Suspect, after: Duration) -> Refusal {
     Refusal::new(Kind::Quarantined)
-        .detail(format!("part {:x}", part.id))
+        .detail(format!("{} {part}", scope_name(part)))
         .retry_after(after)
 }
 
+fn scope_name(suspect: Suspect) -> &'static str {
+    match suspect.scope {
+        Scope::Part => "part",
+        Scope::Request => "content",
+    }
+}
+
 /// Lifts the quarantine of a part whose probe was answered.
-pub(super) fn lift(shared: Arc<Shared>, store: Arc<Client>, part: Part) {
+pub(super) fn lift(shared: Arc<Shared>, store: Arc<Client>, part: Suspect) {
     tokio::spawn(async move {
         let key = quarantine_key(part);
         let call = Call::Get { key: key.clone() };
@@ -242,9 +246,12 @@
     let state = shared.state();
     let runners = state.fleet.count_listed_by_hash(now, verdict.part.service);
     tracing::warn!(
-        event = "part-quarantined",
+        event = match verdict.part.scope {
+            Scope::Part => "part-quarantined",
+            Scope::Request => "request-quarantined",
+        },
         service = state.fleet.service_name(verdict.part.service),
-        part = format!("{:x}", verdict.part.id),
+        part = %verdict.part,
         crashes = verdict.tally.crashes,
         requests = verdict.tally.requests,
         other_crashes = verdict.tally.others,
--- a/crates/entry/src/proxy/crashes/stored.rs
+++ b/crates/entry/src/proxy/crashes/stored.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::proxy::crash::Part;
+use radishstair_core::proxy::crash::Suspect;
+use radishstair_core::proxy::crash::quarantine::Record;
 use radishstair_core::proxy::crash::report::Report;
 use radishstair_core::store::{Answer, Call, Entry};
 
@@ -68,7 +69,7 @@
 
     /// Writes the records of the parts that this host has found.
     async fn write_records(&self) {
-        let unwritten: Vec<(Part, String)> = {
+        let unwritten: Vec<(Suspect, String)> = {
             let state = self.shared.state();
             let unwritten = state.crashes.quarantine.unwritten();
             unwritten.map(|(part, record)| (part, to_json(record))).collect()
@@ -118,8 +119,8 @@
         }
     }
 
-    /// Removes reports of any host from the store that have been there for long. Only collectors do, so that not
-    /// all hosts call the store for each of them.
+    /// Removes reports of any host from the store that have been there for long, and records that have ended by
+    /// age. Only collectors do, so that not all hosts call the store for each of them.
     async fn remove_outdated(&self) {
         if !self.shared.state().crashes.is_collector() {
             return;
@@ -129,10 +130,18 @@
             let age_ms = parse::<Report>(entry).map(|report| unix_ms.saturating_sub(report.written_ms));
             age_ms.is_none_or(|age_ms| age_ms > STORED_LIFE.as_millis() as u64)
         };
+        let has_ended = |entry: &&Entry| {
+            let suspect = part_of_key(&entry.key);
+            let record = parse::<Record>(entry);
+            suspect
+                .zip(record)
+                .is_some_and(|(suspect, record)| record.is_outdated(suspect.scope, unix_ms))
+        };
         let outdated: Vec<Entry> = {
             let mirror = self.shared.mirror();
-            let entries = mirror.with_prefix(REPORT_PREFIX);
-            entries.iter().filter(is_outdated).cloned().collect()
+            let reports = mirror.with_prefix(REPORT_PREFIX).iter().filter(is_outdated);
+            let records = mirror.with_prefix(QUARANTINE_PREFIX).iter().filter(has_ended);
+            reports.chain(records).cloned().collect()
         };
         for entry in outdated {
             let call = Call::Remove {
@@ -182,21 +191,18 @@
         );
     }
     for part in ended {
-        tracing::warn!(event = "quarantine-ended", part = format!("{:x}", part.id));
+        tracing::warn!(event = "quarantine-ended", %part);
     }
 }
 
 /// Key of the record of a part.
-pub(super) fn quarantine_key(part: Part) -> String {
-    format!("{QUARANTINE_PREFIX}{:016x}-{:x}", part.service, part.id)
+pub(super) fn quarantine_key(part: Suspect) -> String {
+    format!("{QUARANTINE_PREFIX}{:016x}-{part}", part.service)
 }
 
-fn part_of_key(key: &str) -> Option<Part> {
-    let (service, id) = key.strip_prefix(QUARANTINE_PREFIX)?.split_once('-')?;
-    Some(Part {
-        service: u64::from_str_radix(service, 16).ok()?,
-        id: u64::from_str_radix(id, 16).ok()?,
-    })
+fn part_of_key(key: &str) -> Option<Suspect> {
+    let (service, text) = key.strip_prefix(QUARANTINE_PREFIX)?.split_once('-')?;
+    Suspect::parse(u64::from_str_radix(service, 16).ok()?, text)
 }
 
 /// Strings and numbers always serialize to JSON.
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -6,7 +6,7 @@
 use hyper::header::HOST;
 use hyper::http::request;
 use radishstair_core::id::digest_fields;
-use radishstair_core::proxy::crash::{self, Part};
+use radishstair_core::proxy::crash::{self, Suspect};
 use radishstair_core::proxy::fleet::{Key, Way};
 use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::overload::Patience;
@@ -33,8 +33,8 @@
     pub metadata: Metadata,
     /// Complete body.
     pub body: Bytes,
-    /// Parts of its prompt that other requests may share, sorted.
-    pub parts_of_prompt: Vec<Part>,
+    /// What may crash runners in it, sorted.
+    pub suspects: Vec<Suspect>,
     /// Hash of what stays the same when the caller repeats the request under another id.
     pub content: u64,
     /// Memory reserved for the request.
@@ -179,7 +179,7 @@
     /// Number of times that the request was counted as demand for runners.
     pub counted: u32,
     /// Part under quarantine of which the request is the probe.
-    pub probe: Option<Part>,
+    pub probe: Option<Suspect>,
     /// Runners that could not be reached directly.
     pub unreached: Vec<Key>,
     /// Runners that are not chosen, although they were not tried.
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use radishstair_core::proxy::crash::{End, Part};
+use radishstair_core::proxy::crash::{End, Suspect};
 use radishstair_core::proxy::fleet::AttemptResult;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
@@ -160,7 +160,7 @@
     }
 
     /// Ends a complete segment; its connection is reused if the response was framed.
-    pub fn finish(self, forwarder: &Forwarder, job: &Job, probe: Option<Part>) {
+    pub fn finish(self, forwarder: &Forwarder, job: &Job, probe: Option<Suspect>) {
         let RunnerResponse {
             slot,
             connection,
