Count the crashes of requests that a peer relays

Change: the peer that relayed the request is asked to connect again. If it cannot connect to the runner, that has crashed; if the peer does not say, the break is forgotten, and no answer without a mark is assumed.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -314,6 +314,13 @@
         count
     }
 
+    /// Forgets the requests that a runner broke off, as it cannot be found out why. Returns how many.
+    pub fn forget_breaks(&mut self, runner: u64) -> usize {
+        let before = self.breaks.len();
+        self.breaks.retain(|pending| pending.runner != runner);
+        before - self.breaks.len()
+    }
+
     /// Records that a request with these suspects was answered completely.
     pub fn record_answer(&mut self, now: Moment, suspects: &[Suspect]) {
         for suspect in suspects {
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::in_flight::{self, InFlightGuard};
 use crate::metrics::Metrics;
+use crate::upstream::relay::Credentials;
 use adapter::Adapter;
 
 pub mod accept;
@@ -160,6 +161,14 @@
 }
 
 impl Shared {
+    /// By what this host shows its peers that it is one.
+    fn credentials(&self) -> Credentials {
+        Credentials {
+            incarnation: self.incarnation,
+            secret: self.secret,
+        }
+    }
+
     /// Creates the state of a process that has just started.
     pub fn new(settings: settings::Settings, adapter: Arc<dyn Adapter>) -> Arc<Self> {
         let mut state = State::new(settings.bounds.clone(), &settings.zone);
--- a/crates/entry/src/proxy/connect.rs
+++ b/crates/entry/src/proxy/connect.rs
@@ -16,7 +16,7 @@
 use super::slot::Slot;
 use crate::upstream::connection::{self, Connection};
 use crate::upstream::pool;
-use crate::upstream::relay::{self, Credentials};
+use crate::upstream::relay;
 
 /// Consecutive connection attempts without an answer after which the path counts as lost.
 /// With 3 % packet loss, one attempt in thirty gets no answer.
@@ -24,7 +24,7 @@
 /// Peers that are asked to relay one connection.
 const MAX_RELAYS: usize = 2;
 /// Time limit for a relayed connection: to the peer, and from there to the runner.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
+pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
 
 impl Forwarder {
     /// Completes when the runner can no longer be reached.
@@ -194,11 +194,7 @@
         peer: SocketAddr,
         limit: Duration,
     ) -> Result<Connection, relay::Failure> {
-        let credentials = Credentials {
-            incarnation: self.shared.incarnation,
-            secret: self.shared.secret,
-        };
-        let relayed = relay::connect(peer, &slot.id, credentials, limit).await;
+        let relayed = relay::connect(peer, &slot.id, self.shared.credentials(), limit).await;
         let outcome = relayed.as_ref().map_or_else(|failure| failure.name(), |_| "ok");
         self.shared.metrics.count_relay_request(outcome);
         if relayed
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -10,7 +10,6 @@
 use radishstair_core::proxy::crash::message::Message;
 use radishstair_core::proxy::crash::quarantine::{Action, Record};
 use radishstair_core::proxy::crash::{Check, End, Scope, Suspect, Verdict};
-use radishstair_core::proxy::fleet::Way;
 use radishstair_core::proxy::readers::Host;
 use radishstair_core::store::{Answer, Call};
 use radishstair_core::time::Moment;
@@ -18,12 +17,14 @@
 
 use super::call::{self, WRITE_TIMEOUT};
 use super::client::Client;
+use super::connect::RELAY_TIMEOUT;
 use super::gossip::CRASH;
 use super::job::Job;
 use super::slot::Slot;
 use super::{Shared, paths};
 use crate::upstream::connection::Connection;
 use crate::upstream::pool;
+use crate::upstream::relay;
 
 mod stored;
 
@@ -40,9 +41,6 @@
 /// Records that a runner has broken off an answer, or that an answer has ended without a mark. If the runner no
 /// longer accepts connections, it counts as crashed. `head_at` is when the head of the answer was received.
 pub(super) fn record_end(job: &Job, slot: &Slot, end: End, head_at: Option<Moment>) {
-    if slot.way == Way::Relayed {
-        return;
-    }
     let shared = &slot.shared;
     let now = shared.now();
     let check = {
@@ -55,7 +53,14 @@
             .record_end(now, end, witness(now, job, runner, head_at))
     };
     match check {
-        Check::Probe => drop(tokio::spawn(probe(shared.clone(), slot.id.clone(), slot.address))),
+        Check::Probe => {
+            let runner = Target {
+                id: slot.id.clone(),
+                address: slot.address,
+                relay: slot.relay,
+            };
+            drop(tokio::spawn(probe(shared.clone(), runner)));
+        }
         Check::Known => shared.crash_pending.notify_one(),
     }
 }
@@ -77,24 +82,49 @@
     }
 }
 
-/// Finds out whether a runner that has broken off requests has crashed.
-async fn probe(shared: Arc<Shared>, id: String, address: SocketAddr) {
+/// A runner that has broken off requests, and the peer that relayed them, if one did.
+struct Target {
+    id: String,
+    address: SocketAddr,
+    relay: Option<SocketAddr>,
+}
+
+/// Finds out whether a runner that has broken off requests has crashed, on the way on which they were sent.
+async fn probe(shared: Arc<Shared>, runner: Target) {
     tokio::time::sleep(CLOSE_TIME).await;
-    let connected = Connection::connect(address, pool::CONNECT_TIMEOUT).await;
-    shared.metrics.count_connection(paths::outcome(&connected));
-    let has_crashed = connected.is_err();
+    let has_crashed = match runner.relay {
+        None => {
+            let connected = Connection::connect(runner.address, pool::CONNECT_TIMEOUT).await;
+            shared.metrics.count_connection(paths::outcome(&connected));
+            Some(connected.is_err())
+        }
+        Some(peer) => probe_by(&shared, peer, &runner.id).await,
+    };
     let now = shared.now();
-    let runner = digest(id.as_bytes());
-    let mut state = shared.state();
-    let requests = state.crashes.record_probe(now, runner, has_crashed);
-    drop(state);
-    if has_crashed {
+    let hash = digest(runner.id.as_bytes());
+    let requests = match has_crashed {
+        Some(has_crashed) => shared.state().crashes.record_probe(now, hash, has_crashed),
+        None => shared.state().crashes.forget_breaks(hash),
+    };
+    if has_crashed == Some(true) {
         shared.metrics.runner_crashes.inc();
-        tracing::info!(event = "runner-crashed", runner = id, requests);
+        tracing::info!(event = "runner-crashed", runner = runner.id, requests);
         shared.crash_pending.notify_one();
     }
 }
 
+/// Whether a peer that relayed requests to a runner cannot connect to it any more; `None` if the peer does not say.
+async fn probe_by(shared: &Shared, peer: SocketAddr, runner: &str) -> Option<bool> {
+    let relayed = relay::connect(peer, runner, shared.credentials(), RELAY_TIMEOUT).await;
+    let outcome = relayed.as_ref().map_or_else(|failure| failure.name(), |_| "ok");
+    shared.metrics.count_relay_request(outcome);
+    match relayed {
+        Ok(_) => Some(false),
+        Err(relay::Failure::Runner) => Some(true),
+        Err(relay::Failure::Peer) => None,
+    }
+}
+
 /// Refuses a request that has a part under quarantine, unless it becomes the probe of that part.
 ///
 /// # Errors
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -173,6 +173,7 @@
             software,
             address,
             way: demand.way,
+            relay: None,
             prefill_us: choice.prefill_us,
             kv_tokens: demand.kv_tokens(),
             conditions: choice.conditions,
@@ -212,6 +213,7 @@
         slot.sent_at = Some(now);
         log.history.record_send();
         let relay = connection.relay();
+        slot.relay = relay;
         let exchange = upstream::exchange(connection, slot.address, request);
         let exchanged = async {
             tokio::select! {
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -25,6 +25,8 @@
     pub(super) address: SocketAddr,
     /// Way on which the request is sent.
     pub(super) way: Way,
+    /// Peer that relays the connection on which the request was sent.
+    pub(super) relay: Option<SocketAddr>,
     /// Time to prefill the prompt, in microseconds; 0 once that has finished.
     pub(super) prefill_us: u64,
     /// Tokens of the runner's KV cache that the request occupies at its end.
