Log the limits of requests a second that runners name

Cause: a runner may name in its answers how many requests a second it takes from all hosts. Nothing said that one had, so that the logs of the incident cannot tell whether hosts ignore the limit or each keep it alone.

Change: the limit is read from each answer, kept with the runner's process, and logged when it begins, changes, ends or cannot be read; a gauge counts such runners. No request is placed otherwise.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -11,6 +11,7 @@
 
 pub mod brittle;
 mod cold;
+pub mod rate;
 mod runner;
 pub mod software;
 mod stall;
@@ -177,6 +178,9 @@
         if is_same_process && is_same_version {
             return Vec::new();
         }
+        if !is_same_process {
+            runner.rate = rate::State::default();
+        }
         runner.belief.restart(sent, is_same_version);
         runner.replaced = false;
         runner.retry_at = Moment::default();
@@ -216,6 +220,7 @@
             relayed: Backoff::default(),
             room: brittle::Room::default(),
             has_rejected: false,
+            rate: rate::State::default(),
             zone_hash,
             first_seen,
             last_contact: Moment::default(),
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -210,6 +210,8 @@
         pub(super) room: brittle::Room,
         /// Whether the other hosts have yet to be told that it has rejected a request.
         pub(super) has_rejected: bool,
+        /// Rate that it takes from all hosts together.
+        pub(super) rate: super::rate::State,
         /// Hash of its zone's name.
         pub(super) zone_hash: u64,
         /// Start of the current process as first seen; a new process has an empty cache.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -125,6 +125,8 @@
     pub quarantines: Counter,
     /// Parts of prompts whose requests are refused.
     pub quarantined_parts: Gauge,
+    /// Runners that have named a limit of the requests that they take.
+    pub limited_runners: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<PlatformCallLabels, Counter>,
     /// Bytes of the answers to calls to the platform and to peers.
@@ -175,6 +177,7 @@
             runner_crashes: Counter::default(),
             quarantines: Counter::default(),
             quarantined_parts: Gauge::default(),
+            limited_runners: Gauge::default(),
             platform_calls: Family::default(),
             response_bytes: Family::default(),
             call_duration: Family::new_with_constructor(latency_histogram),
@@ -282,6 +285,11 @@
             "Parts of prompts whose requests are refused",
             self.quarantined_parts.clone(),
         );
+        registry.register(
+            "limited_runners",
+            "Runners that have named a limit of the requests that they take",
+            self.limited_runners.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::Kind;
 use radishstair_core::proxy::fleet::Listed;
+use radishstair_core::proxy::fleet::rate::Notice;
 use radishstair_core::proxy::placement::Segment;
 use radishstair_core::proxy::route::Table;
 use radishstair_core::proxy::scaling::Order;
@@ -63,7 +64,7 @@
 }
 
 /// Provenance of a runner's response, parsed from its headers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Provenance {
     /// Id of the request that is answered.
     pub request_id: Option<String>,
@@ -73,6 +74,8 @@
     pub not_run: bool,
     /// Rejections within a second that the runner bears; `None` if it does not say that it is brittle.
     pub max_rejections: Option<u32>,
+    /// What the runner says about the rate of requests that it takes.
+    pub rate: Notice,
 }
 
 /// Keys in the store that are written by the operator and the runners.
--- a/crates/entry/src/proxy/admin.rs
+++ b/crates/entry/src/proxy/admin.rs
@@ -76,6 +76,8 @@
             shared.metrics.known_origins.set(known_origins as i64);
             let quarantined_parts = shared.state().crashes.quarantine.len();
             shared.metrics.quarantined_parts.set(quarantined_parts as i64);
+            let limited_runners = shared.state().fleet.count_limited();
+            shared.metrics.limited_runners.set(limited_runners as i64);
             shared
                 .metrics
                 .relayed_connections
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal, Repeat};
 use radishstair_core::proxy::crash::End;
+use radishstair_core::proxy::fleet::rate::Notice;
 use radishstair_core::proxy::fleet::{AttemptResult, Runner, Way};
 use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::placement::{Choice, Demand};
@@ -294,6 +295,11 @@
         let (parts, body) = response.into_parts();
         let provenance = self.shared.adapter.parse_response(&parts);
         slot.record_brittle(now, provenance.max_rejections);
+        // Another instance says nothing about this one, and a rejection may leave the limit out.
+        let is_silent = provenance.not_run && provenance.rate == Notice::Absent;
+        if parts.status != StatusCode::MISDIRECTED_REQUEST && !is_silent {
+            slot.record_rate(now, provenance.rate);
+        }
         if provenance.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
             let (attempt, fault) = match parts.status {
                 StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use radishstair_core::proxy::fleet::rate::{Change, Notice};
 use radishstair_core::proxy::fleet::{AttemptResult, Key, Software, Way};
 use radishstair_core::proxy::latency::Conditions;
 use radishstair_core::proxy::reach::Failure;
@@ -118,6 +119,29 @@
         }
     }
 
+    /// Records what the runner's answer says about the rate that it takes.
+    pub fn record_rate(&self, now: Moment, notice: Notice) {
+        let change = self.shared.state().fleet.record_rate(now, self.key, notice);
+        match change {
+            Some(Change::Begun(per_s)) => {
+                tracing::warn!(event = "runner-limited", runner = self.id, per_s);
+            }
+            Some(Change::Changed { from, to }) => {
+                tracing::info!(
+                    event = "runner-limited",
+                    runner = self.id,
+                    per_s = to,
+                    former = from
+                );
+            }
+            Some(Change::Ended) => tracing::warn!(event = "runner-limit-ended", runner = self.id),
+            Some(Change::Malformed) => {
+                tracing::warn!(event = "runner-limit-malformed", runner = self.id);
+            }
+            None => {}
+        }
+    }
+
     /// Has the path to the service probed, as a connection has broken off.
     pub fn suspect_path(&self) {
         if self.way == Way::Direct {
