Keep the sum over all hosts within the rate that a runner names

What callers saw: a runner that says how little it takes got as much as before, here 47 requests in 4 s of 11 allowed, and 191 of 17 where all runners have a limit; it had named it since it was in need.

Cause: nothing read the limit. Class: a bound of one runner over all hosts that no host keeps, as before for cold and brittle runners.

Change: a few senders for each such runner, chosen by all hosts alike, each with a fixed time between two requests, so that two groups of hosts that do not see each other stay within what it tolerates. Other hosts learn of limits by the load reports. Where all runners are limited, requests wait for the next send if that is near, the most urgent first, and are refused otherwise. Found by quickcheck on the way: a host that becomes a sender when a cut ends sent at once, 25 of 24 (13 hosts, 3.17 a second); it waits now.

--- a/crates/core/src/proxy/exchange.rs
+++ b/crates/core/src/proxy/exchange.rs
@@ -3,7 +3,7 @@
 use super::State;
 use super::fleet::Key;
 use super::gossip::update::Update;
-use super::gossip::{self, CachedPrefix, Packet, PrefillRate};
+use super::gossip::{self, CachedPrefix, Packet, PrefillRate, RateLimit};
 use super::reach::short_hash;
 use crate::id::{Incarnation, digest};
 use crate::time::Moment;
@@ -33,11 +33,17 @@
             reached: reach.reached,
             lost: reach.lost,
             brittle: self.fleet.brittle_services(now).map(short_hash).collect(),
+            limits: self.rate_limits(now),
             prefixes: std::mem::take(&mut self.announcements),
             ..gossip::packet(me, sequence, &self.fleet, self.meter.rates(now))
         }
     }
 
+    fn rate_limits(&self, now: Moment) -> Vec<RateLimit> {
+        let reports = self.fleet.rate_reports(now).into_iter();
+        reports.map(RateLimit::from).collect()
+    }
+
     /// Summary of this zone's load for the other zones.
     pub fn summary(&mut self, now: Moment, sequence: u64) -> Packet {
         let zone = self.fleet.zone.clone();
@@ -47,10 +53,11 @@
             summary: true,
             zone,
             prefixes: self.announced.take(),
+            limits: self.rate_limits(now),
             ..Packet::default()
         };
         let own = gossip::packet(Incarnation(0), 0, &self.fleet, self.meter.rates(now));
-        self.peers.add_to(&mut summary);
+        self.peers.add_to(now, &mut summary);
         gossip::summary::add(&mut summary, &own);
         gossip::summary::limit(&mut summary);
         summary
@@ -111,6 +118,8 @@
             self.fleet
                 .record_brittle_report(now, |service| short_hash(service) == *brittle);
         }
+        let reports = packet.limits.iter().map(|limit| (*limit).into());
+        self.fleet.apply_rate_reports(now, reports);
         if packet.zone == self.fleet.zone {
             self.announced.add(&packet.prefixes);
         }
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -71,6 +71,8 @@
     /// This host, and all live hosts of its zone, by the hash of their addresses.
     own_host: u64,
     zone_hosts: Vec<u64>,
+    /// All live hosts, in the same way.
+    all_hosts: Vec<u64>,
     /// Services whose runners crash when they reject too much.
     brittle: brittle::Brittle,
     /// This host among those that share the runners of these services.
@@ -94,6 +96,7 @@
             cold_services: Vec::new(),
             own_host: 0,
             zone_hosts: Vec::new(),
+            all_hosts: Vec::new(),
             brittle: brittle::Brittle::default(),
             place: brittle::Place::default(),
         }
@@ -397,6 +400,7 @@
     /// Counts a request on a runner, with its prefill work and the KV cache that it will occupy.
     pub fn start_request(&mut self, now: Moment, key: Key, prefill_us: u64, kv_tokens: u64) {
         self.delay_next_send(now, key);
+        self.record_rate_send(now, key);
         if let Some(runner) = self.get_mut(key) {
             runner.local_load.running += 1;
             runner.local_load.prefill_us += prefill_us;
--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -10,7 +10,7 @@
 
 use prost::Message;
 
-use super::fleet::{self, Fleet};
+use super::fleet::{self, Fleet, rate};
 use crate::id::{Incarnation, digest};
 use crate::time::Moment;
 
@@ -121,6 +121,40 @@
     pub runner: u64,
 }
 
+/// Limit of the requests that a runner takes from all hosts together.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RateLimit {
+    /// Hash of the runner's id.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// Requests per second; 0 if the limit has ended.
+    #[prost(double, tag = "2")]
+    pub per_s: f64,
+    /// Time since an answer of the runner said so, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+impl From<rate::Report> for RateLimit {
+    fn from(report: rate::Report) -> Self {
+        Self {
+            runner: report.runner,
+            per_s: report.limit.unwrap_or_default(),
+            age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<RateLimit> for rate::Report {
+    fn from(limit: RateLimit) -> Self {
+        Self {
+            runner: limit.runner,
+            limit: (limit.per_s > 0.0).then_some(limit.per_s),
+            age: Duration::from_millis(limit.age_ms.into()),
+        }
+    }
+}
+
 /// Load report of one host.
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
@@ -175,6 +209,9 @@
     /// Short hashes of the services whose runners have told the sender that they are brittle.
     #[prost(fixed32, repeated, tag = "17")]
     pub brittle: Vec<u32>,
+    /// Limits that the sender knows of.
+    #[prost(message, repeated, tag = "18")]
+    pub limits: Vec<RateLimit>,
 }
 
 /// Time between packets for this number of hosts.
@@ -293,11 +330,12 @@
     }
 
     /// Adds what the other hosts of a zone have reported to a summary of the zone.
-    pub fn add_to(&self, summary: &mut Packet) {
+    pub fn add_to(&self, now: Moment, summary: &mut Packet) {
         let zone = summary.zone.clone();
-        let packets = self.peers.iter().map(|peer| &peer.packet);
-        for packet in packets.filter(|packet| !packet.summary && packet.zone == zone) {
-            summary::add(summary, packet);
+        let is_of_zone = |peer: &&Peer| !peer.packet.summary && peer.packet.zone == zone;
+        for peer in self.peers.iter().filter(is_of_zone) {
+            summary::add(summary, &peer.packet);
+            summary::add_limits(summary, &peer.packet.limits, now.since(peer.received));
         }
     }
 
@@ -328,6 +366,7 @@
         for peer in self.peers.iter_mut().filter(|peer| is_silent(peer)) {
             peer.packet.loads.clear();
             peer.packet.prefill_rates.clear();
+            peer.packet.limits.clear();
         }
         let max_known = hosts.max(1) as usize * MAX_KNOWN_FACTOR;
         if self.peers.len() > max_known {
--- a/crates/core/src/proxy/gossip/summary.rs
+++ b/crates/core/src/proxy/gossip/summary.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use super::{CachedPrefix, Load, Packet, PrefillRate};
+use super::{CachedPrefix, Load, Packet, PrefillRate, RateLimit};
 
 /// Bytes of summaries that a host receives in a second from all zones together.
 const RECEIVED_BYTES_PER_S: usize = 6_000;
@@ -19,6 +19,8 @@
 /// Number of runners whose load a summary contains at most: the busiest, which hosts of other zones
 /// have to avoid.
 const MAX_LOADS: usize = 128;
+/// Maximum number of limits of runners in a summary.
+const MAX_LIMITS: usize = 128;
 /// Maximum number of prefixes kept until the next summary; they take no more bytes than the loads.
 /// Further ones are dropped, and sent when they are used again.
 const MAX_PREFIXES: usize = 128;
@@ -39,6 +41,23 @@
     }
 }
 
+/// Adds limits of runners that were received this long ago; of several for one runner, the latest is kept.
+pub fn add_limits(summary: &mut Packet, limits: &[RateLimit], since: Duration) {
+    for limit in limits {
+        let aged = RateLimit {
+            age_ms: limit.age_ms.saturating_add(since.as_millis() as u32),
+            ..*limit
+        };
+        let found = summary.limits.iter().position(|have| have.runner == limit.runner);
+        match found {
+            Some(at) if summary.limits[at].age_ms > aged.age_ms => summary.limits[at] = aged,
+            Some(_) => {}
+            None if summary.limits.len() < MAX_LIMITS => summary.limits.push(aged),
+            None => {}
+        }
+    }
+}
+
 /// Removes the loads that count least, if there are too many.
 pub fn limit(summary: &mut Packet) {
     if summary.loads.len() > MAX_LOADS {
--- a/crates/entry/src/proxy/acquire.rs
+++ b/crates/entry/src/proxy/acquire.rs
@@ -4,7 +4,8 @@
 
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::proxy::waiting::Ticket;
-use tokio::time::timeout_at;
+use radishstair_core::time::Moment;
+use tokio::time::{Instant, timeout_at};
 
 use super::Shared;
 use super::forward::Forwarder;
@@ -13,6 +14,8 @@
 
 /// Share of the target, and of the time left, for which a request waits for room at brittle runners.
 const ROOM_WAIT_SHARE: f64 = 0.25;
+/// Minimum time until a request that waits for a limited runner tries again.
+const MIN_RATE_WAIT: Duration = Duration::from_millis(10);
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
 /// Time for which a request that broke off is held back before it is sent again, if its prompt is not known to
 /// be sound.
@@ -50,8 +53,8 @@
 
 impl Forwarder {
     /// Reserves a slot as [`reserve_slot`](Self::reserve_slot) does. If the service's runners are brittle and
-    /// have no room, waits a short time until a request has left one of them; the most urgent request goes
-    /// first.
+    /// have no room, or all have limits that let this host send no request now but soon, waits a short time; the most
+    /// urgent request goes first.
     ///
     /// # Errors
     ///
@@ -65,13 +68,13 @@
                 .waiting()
                 .goes_behind(&admission.service, admission.rank)
         };
-        if !(goes_behind() && self.is_brittle(job)) {
+        if !(goes_behind() && self.may_wait(job)) {
             match self.reserve_slot(job, log) {
-                Err(refusal) if refusal.kind == Kind::Overloaded && self.is_brittle(job) => {}
+                Err(refusal) if refusal.kind == Kind::Overloaded && self.may_wait(job) => {}
                 result => return result,
             }
         }
-        let wait_until = tokio::time::Instant::now() + self.room_wait(job);
+        let wait_until = Instant::now() + self.room_wait(job);
         let waiter = Waiter::join(&self.shared, job);
         loop {
             let released = self.shared.slot_released.notified();
@@ -80,11 +83,13 @@
             released.as_mut().enable();
             if waiter.is_first() {
                 match self.reserve_slot(job, log) {
-                    Err(refusal) if refusal.kind == Kind::Overloaded && self.is_brittle(job) => {}
+                    Err(refusal) if refusal.kind == Kind::Overloaded && self.may_wait(job) => {}
                     result => return result,
                 }
             }
-            if timeout_at(wait_until, released).await.is_err() {
+            let wake_at = self.next_rate_send(job).filter(|_| waiter.is_first());
+            let wake_at = wake_at.map_or(wait_until, |at| at.min(wait_until));
+            if timeout_at(wake_at, released).await.is_err() && Instant::now() >= wait_until {
                 // Whether there is room for it now or not, the request has waited long enough.
                 return self.reserve_slot(job, log);
             }
@@ -128,9 +133,24 @@
         }
     }
 
-    fn is_brittle(&self, job: &Job) -> bool {
+    /// Whether there may soon be room for a request that has none now.
+    fn may_wait(&self, job: &Job) -> bool {
         let now = self.shared.now();
-        self.shared.state().fleet.is_brittle(now, &job.admission.service)
+        let service = &job.admission.service;
+        let wait = self.room_wait(job);
+        let state = self.shared.state();
+        let is_due_soon = |at: Moment| now.until(at) < wait;
+        state.fleet.is_brittle(now, service)
+            || state.fleet.are_all_limited(now, service)
+                && state.fleet.next_rate_send(now, service).is_some_and(is_due_soon)
+    }
+
+    /// When a limited runner may get a request of this host, after a short pause at the earliest.
+    fn next_rate_send(&self, job: &Job) -> Option<Instant> {
+        let now = self.shared.now();
+        let state = self.shared.state();
+        let next = state.fleet.next_rate_send(now, &job.admission.service)?;
+        Some(Instant::now() + now.until(next).max(MIN_RATE_WAIT))
     }
 
     /// Longest wait for room at brittle runners.
--- a/crates/entry/src/proxy/admin.rs
+++ b/crates/entry/src/proxy/admin.rs
@@ -76,7 +76,7 @@
             shared.metrics.known_origins.set(known_origins as i64);
             let quarantined_parts = shared.state().crashes.quarantine.len();
             shared.metrics.quarantined_parts.set(quarantined_parts as i64);
-            let limited_runners = shared.state().fleet.count_limited();
+            let limited_runners = shared.state().fleet.count_limited(shared.now());
             shared.metrics.limited_runners.set(limited_runners as i64);
             shared
                 .metrics
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -237,16 +237,23 @@
         self.next_update_at = Instant::now() + update::interval(near as u32);
     }
 
-    /// Updates which hosts share the cold runners of this zone, and the brittle ones of all zones.
+    /// Updates which hosts share the cold runners of this zone, and the brittle and limited ones of all zones.
     fn update_zone_hosts(&self) {
         let own = self.shared.own_host();
-        let hosts = self.shared.hosts().into_iter();
-        let of_zone = hosts.filter(|host| host.zone == own.zone).map(host_hash);
-        let of_zone = of_zone.collect();
+        let hosts = self.shared.hosts();
+        let of_zone = hosts.iter().filter(|host| host.zone == own.zone);
+        let of_zone = of_zone.map(|host| host_hash(*host)).collect();
+        let mut all: Vec<u64> = match self.shared.knows_hosts() {
+            true => hosts.iter().map(|host| host_hash(*host)).collect(),
+            false => Vec::new(),
+        };
+        all.sort_unstable();
         let place = self.place(own);
+        let now = self.shared.now();
         let mut state = self.shared.state();
         state.fleet.set_zone_hosts(host_hash(own), of_zone);
         state.fleet.set_place(place);
+        state.fleet.set_hosts(now, host_hash(own), all);
     }
 
     /// Place of this host among all. Until it knows the others, it takes a small part.
@@ -292,10 +299,10 @@
     digest(host.address.to_string().as_bytes())
 }
 
-/// Whether a packet has loads, a usage record, cached prefixes or lost services.
+/// Whether a packet has loads, a usage record, cached prefixes, lost services or limits.
 fn is_informative(packet: &Packet) -> bool {
     let has_load = !packet.loads.is_empty() || !packet.prefixes.is_empty();
-    has_load || !packet.record.is_empty() || !packet.lost.is_empty()
+    has_load || !packet.record.is_empty() || !packet.lost.is_empty() || !packet.limits.is_empty()
 }
 
 /// Packet that announces changes read from the store.
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod overload;
 mod placement;
+mod rate;
 mod reach;
 mod readers;
 mod refresh;
