--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -183,17 +183,13 @@
 
 fn refusal(part: Suspect, after: Duration) -> Refusal {
     Refusal::new(Kind::Quarantined)
-        .detail(format!("{} {part}", scope_name(part)))
+        .detail(match part.scope {
+            Scope::Part => format!("part {part}"),
+            Scope::Request => part.to_string(),
+        })
         .retry_after(after)
 }
 
-fn scope_name(suspect: Suspect) -> &'static str {
-    match suspect.scope {
-        Scope::Part => "part",
-        Scope::Request => "content",
-    }
-}
-
 /// Lifts the quarantine of a part whose probe was answered.
 pub(super) fn lift(shared: Arc<Shared>, store: Arc<Client>, part: Suspect) {
     tokio::spawn(async move {
