Move suspects and hearings to modules of their own

A newcomer finds in crash.rs only what a host does about crashes; what may be guilty, and the questions about it, have a file each. No behaviour changes; crash.rs goes from 618 lines to 484.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -13,45 +13,35 @@
 //! reaches hosts that are cut off from their peers, and outlives those that have found it. Hosts that reach no
 //! peer exchange crashes and answers through [reports](report) in the store.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::holders;
-use super::placement::Segment;
 use super::readers::Host;
-use crate::id::digest;
 use crate::store::Entry;
 use crate::time::Moment;
 
 pub mod answers;
 pub mod evidence;
+mod hearing;
 pub mod message;
 pub mod quarantine;
 pub mod report;
+mod suspect;
 
 use answers::Answers;
 use evidence::{Evidence, Tally, Witness};
+use hearing::{ANSWER_TIME, ASK_INTERVAL, HEARING, HEARING_BY_STORE, Hearing, SOUND_BEFORE_TIME};
 use message::Message;
 use quarantine::{Quarantine, Record};
 use report::Outgoing;
+use suspect::{MAX_PARTS, sorted_suspects};
+pub use suspect::{Scope, Suspect, shared_parts, suspects};
 
 /// Item under which the collectors are chosen.
 const COLLECTORS: u64 = 0x6372_6173_6865_7321;
-/// Time for which the other hosts are heard before a part is put under quarantine, and the same if none of them
-/// answers, so that what they know has to come through the store.
-const HEARING: Duration = Duration::from_millis(300);
-const HEARING_BY_STORE: Duration = Duration::from_millis(2_500);
-/// Minimum time between the first crash with a part that was sound before and a verdict: so many runners may
-/// have crashed at once that the part was on all of them, and answers from the others take a moment.
-const SOUND_BEFORE_TIME: Duration = Duration::from_millis(1_500);
 /// Time after its start for which a host does not judge, as it knows no answers.
 const START_TIME: Duration = Duration::from_secs(3);
-/// Time after which hosts are asked again about a part: what they answered after the first question counts as
-/// well.
-const ASK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time that the last answers need to arrive.
-const ANSWER_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of questions in one hearing.
 const MAX_ASKED: u32 = 20;
 /// Time for which the last answers before a verdict are not too old for it.
@@ -75,94 +65,6 @@
 const MAX_PENDING: usize = 256;
 /// Time for which an answer shows that a part is sound.
 const PROOF_LIFE: Duration = Duration::from_secs(60);
-/// Maximum number of parts of a prompt that are looked at; the first ones are shared by most requests.
-const MAX_PARTS: usize = 32;
-
-plain! {
-    /// What a suspect is.
-    #[derive(Copy, Eq, PartialOrd, Ord, Hash, Default)]
-    pub enum Scope {
-        /// A part of prompts that other requests may share.
-        #[default]
-        Part,
-        /// One request, whatever id each attempt of its caller has.
-        Request,
-    }
-}
-
-plain! {
-    /// What may crash the runners of one service.
-    #[derive(Copy, Eq, PartialOrd, Ord, Hash, Default)]
-    pub struct Suspect {
-        /// Hash of the service's name.
-        pub service: u64,
-        /// Whether it is a part or a request.
-        pub scope: Scope,
-        /// Id that callers give to the part, or hash of the request's content.
-        pub id: u64,
-    }
-}
-
-/// Mark of requests in the text of a suspect.
-const REQUEST_MARK: &str = "request-";
-
-impl Suspect {
-    /// Part of prompts to a service.
-    pub fn part(service: u64, id: u64) -> Self {
-        let scope = Scope::Part;
-        Self { service, scope, id }
-    }
-
-    /// Request to a service, by the hash of its content.
-    pub fn request(service: u64, id: u64) -> Self {
-        let scope = Scope::Request;
-        Self { service, scope, id }
-    }
-
-    /// Suspect of a service by its text; `None` if it is none.
-    pub fn parse(service: u64, text: &str) -> Option<Self> {
-        let id = |text| u64::from_str_radix(text, 16).ok();
-        match text.strip_prefix(REQUEST_MARK) {
-            Some(text) => Some(Self::request(service, id(text)?)),
-            None => Some(Self::part(service, id(text)?)),
-        }
-    }
-}
-
-impl fmt::Display for Suspect {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.scope {
-            Scope::Part => write!(f, "{:x}", self.id),
-            Scope::Request => write!(f, "{REQUEST_MARK}{:016x}", self.id),
-        }
-    }
-}
-
-/// Segments of a prompt that other requests may share: all but the last one, which belongs to the request itself
-/// or to its session.
-pub fn shared_parts(segments: &[Segment]) -> &[Segment] {
-    segments.split_last().map_or(&[], |(_, shared)| shared)
-}
-
-/// What may be guilty in a request to a service: the parts of its prompt that other requests may share, each
-/// once, and the request itself, by the hash of its content. Sorted, so that the request is last.
-pub fn suspects(service: &str, segments: &[Segment], content: u64) -> Vec<Suspect> {
-    let shared = shared_parts(segments);
-    let of_end = &shared[shared.len().saturating_sub(MAX_PARTS)..];
-    sorted_suspects(
-        digest(service.as_bytes()),
-        content,
-        of_end.iter().map(|segment| segment.id),
-    )
-}
-
-fn sorted_suspects(service: u64, content: u64, parts: impl Iterator<Item = u64>) -> Vec<Suspect> {
-    let mut suspects: Vec<Suspect> = parts.map(|id| Suspect::part(service, id)).collect();
-    suspects.push(Suspect::request(service, content));
-    suspects.sort_unstable();
-    suspects.dedup();
-    suspects
-}
 
 plain! {
     /// What to do about a request that a runner has broken off.
@@ -194,42 +96,6 @@
     witness: Witness,
 }
 
-/// A question to all hosts whether requests with a part have been answered.
-#[derive(Clone, Debug)]
-struct Hearing {
-    part: Suspect,
-    began: Moment,
-    asked_at: Moment,
-    /// Number of crashes when the hosts were last asked.
-    crashes: u32,
-    /// Number of times that they were asked.
-    asked: u32,
-    /// Hosts that have answered, sorted.
-    repliers: Vec<SocketAddr>,
-    /// When they were asked for the last time before a verdict.
-    asked_last_at: Option<Moment>,
-}
-
-impl Hearing {
-    /// Whether most of the other hosts have answered.
-    fn is_answered(&self, others: usize) -> bool {
-        self.repliers.len() * 2 >= others
-    }
-
-    /// When it has to be looked at again: the next such moment after `now`.
-    fn next_check(&self, now: Moment) -> Option<Moment> {
-        let moments = [
-            self.asked_at + ASK_INTERVAL,
-            self.asked_last_at.map_or(self.began, |at| at + ANSWER_TIME),
-            self.began + HEARING,
-            self.began + SOUND_BEFORE_TIME,
-            self.began + HEARING_BY_STORE,
-        ];
-        let later = moments.into_iter().filter(|at| !now.reached(*at));
-        later.min_by_key(|at| at.mono_us)
-    }
-}
-
 /// Witnesses that no collector has confirmed yet.
 #[derive(Clone, Debug)]
 struct Unconfirmed {
