Log how long runners ask a host to wait

Cause: a runner that turns a request away may say for how long it wants nothing from this host. No line said so, so that the logs of the incident cannot tell a runner that is full for a moment from one that wants three seconds, nor whether a host knew.

Change: the header is read in rejections (503, 429), in all its forms, kept with the runner's process, and logged when a hold-off begins, is extended, ends or cannot be read; runner-refused names the time; a gauge counts such runners. What runners say about themselves beside their answers is read in one module of the adapter and recorded under one lock, with a table of what each notice changes. No request is placed otherwise.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -11,6 +11,8 @@
 
 pub mod brittle;
 mod cold;
+pub mod holdoff;
+pub mod notice;
 pub mod rate;
 mod runner;
 pub mod software;
@@ -183,6 +185,7 @@
         }
         if !is_same_process {
             runner.rate = rate::State::default();
+            runner.hold_off = holdoff::State::default();
         }
         runner.belief.restart(sent, is_same_version);
         runner.replaced = false;
@@ -224,6 +227,7 @@
             room: brittle::Room::default(),
             has_rejected: false,
             rate: rate::State::default(),
+            hold_off: holdoff::State::default(),
             zone_hash,
             first_seen,
             last_contact: Moment::default(),
--- /dev/null
+++ b/crates/core/src/proxy/fleet/holdoff.rs
@@ -0,0 +1,128 @@
+//! Runners that ask this host to send them nothing for some time.
+//!
+//! A runner that rejects a request may say how long the host should wait. It says so to one host, for the life
+//! of its process.
+
+use std::time::Duration;
+
+use super::{Fleet, Key, Runner};
+use crate::time::Moment;
+
+/// Longest time for which a host waits, whatever a runner asks. A runner that names a longer one by mistake is used
+/// again without a restart, and one that means it gets a request an hour.
+const MAX_HOLD_OFF: Duration = Duration::from_secs(3_600);
+/// Minimum time between two log lines about what a runner asks for and cannot be read.
+const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
+
+plain! {
+    /// What a rejection says about the time to wait.
+    #[derive(Copy, Default, Eq)]
+    pub enum Notice {
+        /// Nothing.
+        #[default]
+        Absent,
+        /// This host should wait for so long.
+        For(Duration),
+        /// Something that cannot be read, and changes nothing.
+        Malformed,
+    }
+}
+
+impl Notice {
+    /// Time to wait in milliseconds, for log lines.
+    pub fn wait_ms(self) -> Option<u64> {
+        match self {
+            Notice::For(length) => Some(u64::try_from(length.as_millis()).unwrap_or(u64::MAX)),
+            Notice::Absent | Notice::Malformed => None,
+        }
+    }
+}
+
+plain! {
+    /// How the hold-off of a runner has changed.
+    #[derive(Copy, Eq)]
+    pub enum Change {
+        /// The host waits for so long from now on.
+        Begun(Duration),
+        /// It waits for longer than before: for so long from now on.
+        Extended(Duration),
+        /// The runner has answered a request that was sent after the end.
+        Ended,
+        /// What the runner asks for cannot be read.
+        Malformed,
+    }
+}
+
+plain! {
+    /// Hold-off of one runner.
+    #[derive(Copy, Default)]
+    pub(super) struct State {
+        /// Latest end that the runner has asked for, until it has answered a request that was sent after it.
+        until: Option<Moment>,
+        /// When this host last had to say that it cannot read what the runner asks for.
+        malformed_at: Option<Moment>,
+    }
+}
+
+impl State {
+    /// Records what a rejection says. The latest end binds: a rejection that names an earlier one, or none, may answer
+    /// an older request.
+    fn record(&mut self, now: Moment, notice: Notice) -> Option<Change> {
+        let length = match notice {
+            Notice::Absent => return None,
+            Notice::For(length) => length.min(MAX_HOLD_OFF),
+            Notice::Malformed => return self.record_malformed(now),
+        };
+        let until = now + length;
+        if length.is_zero() || self.until.is_some_and(|known| known.reached(until)) {
+            return None;
+        }
+        let was_held = self.is_held(now);
+        self.until = Some(until);
+        Some(match was_held {
+            true => Change::Extended(length),
+            false => Change::Begun(length),
+        })
+    }
+
+    /// Records an answer other than a rejection to a request that was sent at `sent`.
+    fn record_answer(&mut self, sent: Moment) -> Option<Change> {
+        self.until.filter(|until| sent.reached(*until))?;
+        self.until = None;
+        Some(Change::Ended)
+    }
+
+    /// Whether the runner wants nothing from this host now.
+    pub(super) fn is_held(&self, now: Moment) -> bool {
+        self.until.is_some_and(|until| !now.reached(until))
+    }
+
+    fn record_malformed(&mut self, now: Moment) -> Option<Change> {
+        if self
+            .malformed_at
+            .is_some_and(|at| now.since(at) < MALFORMED_INTERVAL)
+        {
+            return None;
+        }
+        self.malformed_at = Some(now);
+        Some(Change::Malformed)
+    }
+}
+
+impl Fleet {
+    /// Records what a runner's rejection says about the time to wait; returns what has changed.
+    pub fn record_hold_off(&mut self, now: Moment, key: Key, notice: Notice) -> Option<Change> {
+        self.get_mut(key)?.hold_off.record(now, notice)
+    }
+
+    /// Records an answer other than a rejection to a request that was sent at `sent`.
+    pub fn record_acceptance(&mut self, key: Key, sent: Moment) -> Option<Change> {
+        self.get_mut(key)?.hold_off.record_answer(sent)
+    }
+
+    /// Number of runners that want nothing from this host now.
+    pub fn count_held_off(&self, now: Moment) -> usize {
+        let is_held = |runner: &&Runner| runner.hold_off.is_held(now);
+        self.arena.iter().filter(is_held).count()
+    }
+}
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -5,7 +5,7 @@
 
 use super::super::latency::ms;
 use super::software::{Belief, Software};
-use super::{brittle, cold};
+use super::{brittle, cold, holdoff};
 use crate::time::Moment;
 
 /// Weight of the newest answer in the failure rate. A host sees an answer of a runner every two
@@ -212,6 +212,8 @@
         pub(super) has_rejected: bool,
         /// Rate that it takes from all hosts together.
         pub(super) rate: super::rate::State,
+        /// Time for which it wants nothing from this host.
+        pub(super) hold_off: holdoff::State,
         /// Hash of its zone's name.
         pub(super) zone_hash: u64,
         /// Start of the current process as first seen; a new process has an empty cache.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -127,6 +127,8 @@
     pub quarantined_parts: Gauge,
     /// Runners that have named a limit of the requests that they take.
     pub limited_runners: Gauge,
+    /// Runners that want nothing from this host for some time.
+    pub held_off_runners: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<PlatformCallLabels, Counter>,
     /// Bytes of the answers to calls to the platform and to peers.
@@ -178,6 +180,7 @@
             quarantines: Counter::default(),
             quarantined_parts: Gauge::default(),
             limited_runners: Gauge::default(),
+            held_off_runners: Gauge::default(),
             platform_calls: Family::default(),
             response_bytes: Family::default(),
             call_duration: Family::new_with_constructor(latency_histogram),
@@ -290,6 +293,11 @@
             "Runners that have named a limit of the requests that they take",
             self.limited_runners.clone(),
         );
+        registry.register(
+            "held_off_runners",
+            "Runners that have asked this host to send them nothing for some time",
+            self.held_off_runners.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -54,6 +54,7 @@
 pub mod gossip;
 pub mod held;
 pub mod job;
+mod notices;
 mod origins;
 pub mod packing;
 pub mod paths;
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -15,7 +15,7 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::Kind;
 use radishstair_core::proxy::fleet::Listed;
-use radishstair_core::proxy::fleet::rate::Notice;
+use radishstair_core::proxy::fleet::notice::Notices;
 use radishstair_core::proxy::placement::Segment;
 use radishstair_core::proxy::route::Table;
 use radishstair_core::proxy::scaling::Order;
@@ -72,10 +72,8 @@
     pub signed: bool,
     /// Whether the runner states that the request has not run.
     pub not_run: bool,
-    /// Rejections within a second that the runner bears; `None` if it does not say that it is brittle.
-    pub max_rejections: Option<u32>,
-    /// What the runner says about the rate of requests that it takes.
-    pub rate: Notice,
+    /// What the runner says about itself.
+    pub notices: Notices,
 }
 
 /// Keys in the store that are written by the operator and the runners.
--- a/crates/entry/src/proxy/admin.rs
+++ b/crates/entry/src/proxy/admin.rs
@@ -78,6 +78,8 @@
             shared.metrics.quarantined_parts.set(quarantined_parts as i64);
             let limited_runners = shared.state().fleet.count_limited(shared.now());
             shared.metrics.limited_runners.set(limited_runners as i64);
+            let held_off = shared.state().fleet.count_held_off(shared.now());
+            shared.metrics.held_off_runners.set(held_off as i64);
             shared
                 .metrics
                 .relayed_connections
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -18,7 +18,7 @@
 use hyper::{Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal, Repeat};
 use radishstair_core::proxy::crash::End;
-use radishstair_core::proxy::fleet::rate::Notice;
+use radishstair_core::proxy::fleet::notice::Answer;
 use radishstair_core::proxy::fleet::{AttemptResult, Runner, Way};
 use radishstair_core::proxy::origin::Origin;
 use radishstair_core::proxy::placement::{Choice, Demand};
@@ -294,12 +294,8 @@
         let (response, connection) = exchange.split();
         let (parts, body) = response.into_parts();
         let provenance = self.shared.adapter.parse_response(&parts);
-        slot.record_brittle(now, provenance.max_rejections);
-        // Another instance says nothing about this one, and a rejection may leave the limit out.
-        let is_silent = provenance.not_run && provenance.rate == Notice::Absent;
-        if parts.status != StatusCode::MISDIRECTED_REQUEST && !is_silent {
-            slot.record_rate(now, provenance.rate);
-        }
+        let answer = answer_kind(&parts, &provenance);
+        slot.record_notices(now, job, answer, &provenance.notices);
         if provenance.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
             let (attempt, fault) = match parts.status {
                 StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
@@ -310,7 +306,8 @@
                 event = "runner-refused",
                 request = job.metadata.id,
                 runner = slot.id,
-                status = parts.status.as_u16()
+                status = parts.status.as_u16(),
+                wait_ms = provenance.notices.hold_off.wait_ms()
             );
             let drained = timeout(DRAIN_TIMEOUT, Limited::new(body, 64 * 1024).collect()).await;
             if matches!(drained, Ok(Ok(_))) {
@@ -452,6 +449,16 @@
     }
 }
 
+/// Kind of a response, as far as what the runner says about itself depends on it.
+fn answer_kind(parts: &response::Parts, provenance: &Provenance) -> Answer {
+    match parts.status {
+        StatusCode::MISDIRECTED_REQUEST => Answer::Misdirected,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Answer::Rejected,
+        _ if provenance.not_run => Answer::Rejected,
+        _ => Answer::Other,
+    }
+}
+
 /// Whether a response is the runner's response to this request.
 ///
 /// A surplus response may arrive late, in place of the next request's. If it were
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishstair_core::proxy::fleet::rate::{Change, Notice};
+use radishstair_core::proxy::fleet::notice::{Answer, Notices};
 use radishstair_core::proxy::fleet::{AttemptResult, Key, Software, Way};
 use radishstair_core::proxy::latency::Conditions;
 use radishstair_core::proxy::reach::Failure;
 use radishstair_core::time::Moment;
 
-use super::{Shared, paths};
+use super::job::Job;
+use super::{Shared, notices, paths};
 
 /// A reservation on a runner; dropping it releases the runner's load.
 #[derive(Debug)]
@@ -98,48 +99,15 @@
         }
     }
 
-    /// Records whether the runner's answer says that it crashes when it rejects too much.
-    pub fn record_brittle(&self, now: Moment, max_rejections: Option<u32>) {
-        let mut state = self.shared.state();
-        let Some(service) = state
+    /// Records what the runner says about itself in its answer to a request.
+    pub fn record_notices(&self, now: Moment, job: &Job, answer: Answer, notices: &Notices) {
+        let sent = self.sent_at.unwrap_or(now);
+        let changes = self
+            .shared
+            .state()
             .fleet
-            .get(self.key)
-            .map(|runner| runner.listed.service.clone())
-        else {
-            return;
-        };
-        let was_brittle = state.fleet.is_brittle(now, &service);
-        if max_rejections.is_none() && !was_brittle {
-            return;
-        }
-        state.fleet.record_brittle(now, self.key, max_rejections);
-        drop(state);
-        if !was_brittle {
-            tracing::warn!(event = "runners-brittle", service, max_rejections);
-        }
-    }
-
-    /// Records what the runner's answer says about the rate that it takes.
-    pub fn record_rate(&self, now: Moment, notice: Notice) {
-        let change = self.shared.state().fleet.record_rate(now, self.key, notice);
-        match change {
-            Some(Change::Begun(per_s)) => {
-                tracing::warn!(event = "runner-limited", runner = self.id, per_s);
-            }
-            Some(Change::Changed { from, to }) => {
-                tracing::info!(
-                    event = "runner-limited",
-                    runner = self.id,
-                    per_s = to,
-                    former = from
-                );
-            }
-            Some(Change::Ended) => tracing::warn!(event = "runner-limit-ended", runner = self.id),
-            Some(Change::Malformed) => {
-                tracing::warn!(event = "runner-limit-malformed", runner = self.id);
-            }
-            None => {}
-        }
+            .record_notices(now, self.key, sent, answer, notices);
+        notices::log(job, &self.id, &changes);
     }
 
     /// Has the path to the service probed, as a connection has broken off.
