Send nothing to a runner until the time is over for which it asked

What callers saw: while some runners turned hosts away, requests went to them again and again; up to a third came back as overloaded after one or two rejections.

Cause: nothing read for how long a runner wants nothing from a host; a rejection paused it for a fixed 150 ms, and what had been placed before was sent after. Class: what an answer tells beside its content has no place where it is seen that it is read and what it changes, and each clock that keeps requests from a runner is asked at another place.

Change: one answer to whether this host may send a runner a request and, if not, when (clearance). It joins list, own failures, cold start, limit and hold-off, and is asked at the choice and again before bytes leave, on all ways; limits and brittle runners that speak between the two are kept as well. The latest end binds until the process ends. After it, hosts begin spread and send one request at a time until one is taken. Where all runners have asked, requests wait if an end is near, and are refused at once otherwise, with the earliest end as the time to come back. A rejection no longer shortens the backoff of a failure. A peer does not connect for another host to a runner that has asked the peer to wait. Tests of limits call the joined functions by their new names.

In memory no order of rejections, answers, failures, relays, restarts and lapsed entries breaks it, nor fleets of 8, 80 and 986 hosts.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -10,6 +10,7 @@
 use crate::time::Moment;
 
 pub mod brittle;
+pub mod clearance;
 mod cold;
 pub mod holdoff;
 pub mod notice;
@@ -18,6 +19,7 @@
 pub mod software;
 mod stall;
 
+pub use clearance::Clearance;
 use runner::Backoff;
 pub use runner::{AttemptResult, Idle, Listed, Liveness, Load, Runner, Stage, Way};
 pub use software::Software;
@@ -287,9 +289,7 @@
         way: Way,
     ) -> impl Iterator<Item = (Key, &'a Runner)> {
         let serves = move |runner: &Runner| {
-            runner.listed.service == service
-                && runner.is_available(now, way)
-                && self.is_warm_for(now, runner, way)
+            runner.listed.service == service && self.clearance(now, runner, way) != Clearance::Denied
         };
         let is_reachable =
             move |runner: &Runner| way == Way::Relayed || !self.is_avoided(now, &runner.listed.zone);
@@ -315,7 +315,9 @@
     /// Whether a runner can be used on a way and has not restarted since `since`, when it got a prefix.
     pub fn has_cached(&self, now: Moment, key: Key, since: Moment, way: Way) -> bool {
         let runner = self.get(key);
-        runner.is_some_and(|runner| runner.is_available(now, way) && runner.first_seen <= since)
+        runner.is_some_and(|runner| {
+            runner.is_available(now, way) && !runner.hold_off.is_held(now) && runner.first_seen <= since
+        })
     }
 
     /// Mutable runner by key.
@@ -406,6 +408,7 @@
         self.delay_next_send(now, key);
         self.record_rate_send(now, key);
         if let Some(runner) = self.get_mut(key) {
+            runner.hold_off.record_send(now);
             runner.local_load.running += 1;
             runner.local_load.prefill_us += prefill_us;
             runner.local_load.kv_tokens += kv_tokens;
@@ -490,7 +493,7 @@
                 runner.record_result(result == AttemptResult::Failed);
             }
             AttemptResult::Full => {
-                runner.relayed.retry_at = now + FULL_BACKOFF;
+                runner.relayed.retry_at = runner.relayed.retry_at.max(now + FULL_BACKOFF);
                 self.record_rejection(now, key);
             }
             AttemptResult::Replaced => runner.replaced = true,
@@ -531,7 +534,7 @@
                 self.confirm(now, key);
             }
             AttemptResult::Full => {
-                runner.retry_at = now + FULL_BACKOFF;
+                runner.retry_at = runner.retry_at.max(now + FULL_BACKOFF);
                 self.record_rejection(now, key);
             }
             AttemptResult::Replaced => runner.replaced = true,
--- a/crates/core/src/proxy/fleet/brittle.rs
+++ b/crates/core/src/proxy/fleet/brittle.rs
@@ -104,6 +104,11 @@
 }
 
 impl Room {
+    /// Whether this host sends nothing to the runner.
+    pub(super) fn is_halted(&self, now: Moment) -> bool {
+        !now.reached(self.halted_until)
+    }
+
     /// Factor of the runner's limit.
     fn factor(&self, now: Moment) -> f64 {
         self.lowered.map_or(1.0, |(at, factor)| {
@@ -231,7 +236,7 @@
                 return false;
             };
             let part = (slots / senders as f64).floor().max(1.0);
-            now.reached(runner.room.halted_until)
+            !runner.room.is_halted(now)
                 && f64::from(runner.local_load.running) < part
                 && f64::from(runner.running()) < slots.max(1.0)
                 && runner.backlog() < MAX_BACKLOG
--- a/crates/core/src/proxy/fleet/holdoff.rs
+++ b/crates/core/src/proxy/fleet/holdoff.rs
@@ -1,16 +1,27 @@
 //! Runners that ask this host to send them nothing for some time.
 //!
 //! A runner that rejects a request may say how long the host should wait. It says so to one host, for the life
-//! of its process.
+//! of its process. Whatever comes after it, the latest end binds.
+//!
+//! After the end the host does not know whether the runner takes requests again, and neither do other hosts whose time may
+//! end at the same moment. Each host therefore begins at a moment of its own shortly after the end, and sends one
+//! request at a time, with a pause, until the runner has taken one.
 
 use std::time::Duration;
 
+use super::clearance::Clearance;
 use super::{Fleet, Key, Runner};
+use crate::id::rendezvous_weight;
 use crate::time::Moment;
 
 /// Longest time for which a host waits, whatever a runner asks. A runner that names a longer one by mistake is used
 /// again without a restart, and one that means it gets a request an hour.
 const MAX_HOLD_OFF: Duration = Duration::from_secs(3_600);
+/// Time between the first requests after the end, until the runner has taken one.
+const RESUME_INTERVAL: Duration = Duration::from_millis(100);
+/// Time over which the first requests of all hosts are spread: a part for each, and the maximum.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(20);
+const MAX_SPREAD: Duration = Duration::from_secs(2);
 /// Minimum time between two log lines about what a runner asks for and cannot be read.
 const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -59,6 +70,8 @@
     pub(super) struct State {
         /// Latest end that the runner has asked for, until it has answered a request that was sent after it.
         until: Option<Moment>,
+        /// Earliest time of this host's next request.
+        next_send: Moment,
         /// When this host last had to say that it cannot read what the runner asks for.
         malformed_at: Option<Moment>,
     }
@@ -67,7 +80,9 @@
 impl State {
     /// Records what a rejection says. The latest end binds: a rejection that names an earlier one, or none, may answer
     /// an older request.
-    fn record(&mut self, now: Moment, notice: Notice) -> Option<Change> {
+    ///
+    /// The first request is sent `delay` after the end.
+    fn record(&mut self, now: Moment, notice: Notice, delay: Duration) -> Option<Change> {
         let length = match notice {
             Notice::Absent => return None,
             Notice::For(length) => length.min(MAX_HOLD_OFF),
@@ -79,6 +94,7 @@
         }
         let was_held = self.is_held(now);
         self.until = Some(until);
+        self.next_send = until + delay;
         Some(match was_held {
             true => Change::Extended(length),
             false => Change::Begun(length),
@@ -92,6 +108,33 @@
         Some(Change::Ended)
     }
 
+    /// Records that a request is placed on the runner.
+    pub(super) fn record_send(&mut self, now: Moment) {
+        if self.is_active() {
+            self.next_send = now + RESUME_INTERVAL;
+        }
+    }
+
+    /// Whether this host may place a request on the runner.
+    pub(super) fn clearance(&self, now: Moment) -> Clearance {
+        match self.is_active() {
+            true => Clearance::from(now, self.next_send),
+            false => Clearance::Granted,
+        }
+    }
+
+    /// Whether a request that was placed at `placed` may be sent: nothing was asked for, or it was placed after
+    /// the end.
+    pub(super) fn admits(&self, now: Moment, placed: Moment) -> bool {
+        self.until
+            .is_none_or(|until| now.reached(until) && placed.reached(until))
+    }
+
+    /// Whether the runner has asked this host to wait, and has taken no request since the end.
+    pub(super) fn is_active(&self) -> bool {
+        self.until.is_some()
+    }
+
     /// Whether the runner wants nothing from this host now.
     pub(super) fn is_held(&self, now: Moment) -> bool {
         self.until.is_some_and(|until| !now.reached(until))
@@ -109,10 +152,27 @@
     }
 }
 
+impl Runner {
+    /// Whether it wants nothing from this host now.
+    pub fn is_held_off(&self, now: Moment) -> bool {
+        self.hold_off.is_held(now)
+    }
+}
+
 impl Fleet {
     /// Records what a runner's rejection says about the time to wait; returns what has changed.
     pub fn record_hold_off(&mut self, now: Moment, key: Key, notice: Notice) -> Option<Change> {
-        self.get_mut(key)?.hold_off.record(now, notice)
+        let delay = self.resume_delay(self.get(key)?);
+        self.get_mut(key)?.hold_off.record(now, notice, delay)
+    }
+
+    /// Time after the end of a hold-off until this host's first request: a part of the time over which all hosts are
+    /// spread.
+    fn resume_delay(&self, runner: &Runner) -> Duration {
+        let hosts = u32::try_from(self.all_hosts.len()).unwrap_or(u32::MAX);
+        let spread = SPREAD_PER_HOST.saturating_mul(hosts).min(MAX_SPREAD);
+        let draw = rendezvous_weight(runner.hash, self.own_host);
+        spread.mul_f64(draw as f64 / u64::MAX as f64)
     }
 
     /// Records an answer other than a rejection to a request that was sent at `sent`.
--- a/crates/core/src/proxy/fleet/notice.rs
+++ b/crates/core/src/proxy/fleet/notice.rs
@@ -6,7 +6,7 @@
 //! | notice | in which answers | what it changes | until |
 //! |---|---|---|---|
 //! | [brittle](super::brittle) | all | what all hosts send to the service | an answer without it |
-//! | [rate](super::rate) | all; a rejection may leave it out | what all hosts send to the runner | an answer without it |
+//! | [rate] | all; a rejection may leave it out | what all hosts send to the runner | an answer without it |
 //! | [hold-off](super::holdoff) | rejections | what this host sends to the runner | its latest end |
 
 use super::{Fleet, Key, holdoff, rate};
--- a/crates/core/src/proxy/fleet/rate.rs
+++ b/crates/core/src/proxy/fleet/rate.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use super::clearance::Clearance;
 use super::{Fleet, Key, Runner};
 use crate::id::rendezvous_weight;
 use crate::time::Moment;
@@ -106,6 +107,8 @@
         is_own: bool,
         /// Time between two requests of this host, if it is a sender.
         interval: Option<Duration>,
+        /// When this host last became a sender.
+        limited_at: Moment,
         /// When this host last chose the runner.
         sent_at: Option<Moment>,
         /// When this host last had to say that it cannot read what the runner names.
@@ -161,22 +164,27 @@
     }
 
     /// The limit that this host keeps to.
-    fn limit_at(&self, now: Moment) -> Option<f64> {
+    pub(super) fn limit_at(&self, now: Moment) -> Option<f64> {
         let is_known = self.interval.is_some() || now.since(self.heard_at) < REPORT_LIFE;
         self.limit.filter(|_| is_known)
     }
 
     /// Whether this host may send a request.
-    fn may_send(&self, now: Moment) -> bool {
-        let is_due = |interval| self.sent_at.is_none_or(|at| now.since(at) >= interval);
-        self.limit_at(now).is_none() || self.interval.is_some_and(is_due)
+    pub(super) fn clearance(&self, now: Moment) -> Clearance {
+        match (self.limit_at(now), self.interval) {
+            (None, _) => Clearance::Granted,
+            (Some(_), None) => Clearance::Deferred(None),
+            (Some(_), Some(interval)) => {
+                let next = self.sent_at.map_or(now, |at| at + interval);
+                Clearance::from(now, next)
+            }
+        }
     }
 
-    /// When this host may send the next request, if it is a sender.
-    fn next_send(&self, now: Moment) -> Option<Moment> {
-        self.limit_at(now)?;
-        self.interval
-            .map(|interval| self.sent_at.map_or(now, |at| at + interval))
+    /// Whether a request that was placed at `placed` may be sent: there is no limit, or it was placed under it.
+    pub(super) fn admits(&self, now: Moment, placed: Moment) -> bool {
+        let is_under_limit = || self.interval.is_some() && placed.reached(self.limited_at);
+        self.limit_at(now).is_none() || is_under_limit()
     }
 
     /// Whether the other hosts are told of it.
@@ -291,6 +299,7 @@
             if runner.rate.interval.is_none() {
                 // Those that were senders before may just have sent.
                 runner.rate.sent_at = Some(now);
+                runner.rate.limited_at = now;
             }
             runner.rate.interval = interval;
         }
@@ -303,36 +312,6 @@
         }
     }
 
-    /// Runners among these to which their limits let this host send a request now.
-    pub fn within_rate<'a>(
-        &self,
-        now: Moment,
-        mut eligible: Vec<(Key, &'a Runner)>,
-    ) -> Vec<(Key, &'a Runner)> {
-        eligible.retain(|(_, runner)| runner.rate.may_send(now));
-        eligible
-    }
-
-    /// Whether all runners of a service have limits.
-    pub fn are_all_limited(&self, now: Moment, service: &str) -> bool {
-        let mut listed = self
-            .arena
-            .iter()
-            .filter(|runner| runner.listed.service == service && runner.is_listed(now))
-            .peekable();
-        listed.peek().is_some() && listed.all(|runner| runner.rate.limit_at(now).is_some())
-    }
-
-    /// Next moment from which this host may send a request to a limited runner of a service; `None` if it may not.
-    pub fn next_rate_send(&self, now: Moment, service: &str) -> Option<Moment> {
-        let listed = self
-            .arena
-            .iter()
-            .filter(|runner| runner.listed.service == service && runner.is_listed(now));
-        let moments = listed.filter_map(|runner| runner.rate.next_send(now));
-        moments.min_by_key(|at| at.mono_us)
-    }
-
     /// Number of runners with a limit.
     pub fn count_limited(&self, now: Moment) -> usize {
         let is_limited = |runner: &&Runner| runner.rate.limit_at(now).is_some();
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -240,7 +240,7 @@
     let mut eligible: Vec<(Key, &Runner)> = available.collect();
     eligible.retain(|(key, runner)| !tried.contains(key) && demand.allows(now, runner));
     let count = eligible.len() as u32;
-    let eligible = inputs.fleet.within_rate(now, eligible);
+    let eligible = inputs.fleet.cleared(now, eligible);
     let eligible = inputs.fleet.with_room(now, &demand.service, eligible);
     let eligible = memory::with_room(inputs.memory, eligible, demand);
     let choice = match demand.prompt_tokens {
--- a/crates/core/src/proxy/relay.rs
+++ b/crates/core/src/proxy/relay.rs
@@ -201,7 +201,8 @@
     pub fn relay_target(&self, now: Moment, runner: &str) -> Option<(Key, SocketAddr)> {
         let key = self.fleet.find(runner)?;
         let runner = self.fleet.get(key)?;
-        let is_usable = runner.is_available(now, Way::Direct) && runner.is_warm(now);
+        let is_usable =
+            runner.is_available(now, Way::Direct) && runner.is_warm(now) && !runner.is_held_off(now);
         is_usable.then_some((key, runner.listed.address))
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -71,6 +71,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of requests that were kept from runners which have asked this host to wait.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WithheldLabel {
+    /// `moved` to another runner after it had been placed, or `refused` as all runners have asked to wait.
+    pub outcome: &'static str,
+}
+
 /// Label of metrics by call to the platform or to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabel {
@@ -99,6 +106,8 @@
     pub resumed_streams: Family<ClassLabel, Counter>,
     /// Silences of streams that other runners may take over.
     pub silences: Family<SilenceLabel, Counter>,
+    /// Requests that were kept from runners which have asked this host to wait.
+    pub withheld_requests: Family<WithheldLabel, Counter>,
     /// Calls forwarded to the owner of their key.
     pub forwarded_calls: Counter,
     /// Connections refused because of the limit.
@@ -166,6 +175,7 @@
             tokens: Family::default(),
             resumed_streams: Family::default(),
             silences: Family::default(),
+            withheld_requests: Family::default(),
             forwarded_calls: Counter::default(),
             refused_connections: Counter::default(),
             expired_connections: Counter::default(),
@@ -223,6 +233,11 @@
             "Silences of streams by how they ended",
             self.silences.clone(),
         );
+        registry.register(
+            "withheld_requests",
+            "Requests kept from runners that have asked this host to wait",
+            self.withheld_requests.clone(),
+        );
         registry.register(
             "forwarded_calls",
             "Calls forwarded to the owner of their key",
@@ -420,6 +435,13 @@
         self.take_ups.get_or_create(&TakeUpLabel { source }).inc();
     }
 
+    /// Counts a request that was kept from a runner.
+    pub fn count_withheld(&self, outcome: &'static str) {
+        self.withheld_requests
+            .get_or_create(&WithheldLabel { outcome })
+            .inc();
+    }
+
     /// Counts a silence of a stream.
     pub fn count_silence(&self, outcome: &'static str) {
         self.silences.get_or_create(&SilenceLabel { outcome }).inc();
--- a/crates/entry/src/proxy/acquire.rs
+++ b/crates/entry/src/proxy/acquire.rs
@@ -14,8 +14,8 @@
 
 /// Share of the target, and of the time left, for which a request waits for room at brittle runners.
 const ROOM_WAIT_SHARE: f64 = 0.25;
-/// Minimum time until a request that waits for a limited runner tries again.
-const MIN_RATE_WAIT: Duration = Duration::from_millis(10);
+/// Minimum time until a request that waits for such a runner tries again.
+const MIN_WAIT: Duration = Duration::from_millis(10);
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
 /// Time for which a request that broke off is held back before it is sent again, if its prompt is not known to
 /// be sound.
@@ -53,8 +53,8 @@
 
 impl Forwarder {
     /// Reserves a slot as [`reserve_slot`](Self::reserve_slot) does. If the service's runners are brittle and
-    /// have no room, or all have limits that let this host send no request now but soon, waits a short time; the most
-    /// urgent request goes first.
+    /// have no room, or all have limits or have asked to wait and let this host send a request soon, waits a short
+    /// time; the most urgent request goes first.
     ///
     /// # Errors
     ///
@@ -87,7 +87,7 @@
                     result => return result,
                 }
             }
-            let wake_at = self.next_rate_send(job).filter(|_| waiter.is_first());
+            let wake_at = self.next_send(job).filter(|_| waiter.is_first());
             let wake_at = wake_at.map_or(wait_until, |at| at.min(wait_until));
             if timeout_at(wake_at, released).await.is_err() && Instant::now() >= wait_until {
                 // Whether there is room for it now or not, the request has waited long enough.
@@ -141,16 +141,17 @@
         let state = self.shared.state();
         let is_due_soon = |at: Moment| now.until(at) < wait;
         state.fleet.is_brittle(now, service)
-            || state.fleet.are_all_limited(now, service)
-                && state.fleet.next_rate_send(now, service).is_some_and(is_due_soon)
+            || state.fleet.are_all_restricted(now, service)
+                && state.fleet.next_send(now, service).is_some_and(is_due_soon)
     }
 
-    /// When a limited runner may get a request of this host, after a short pause at the earliest.
-    fn next_rate_send(&self, job: &Job) -> Option<Instant> {
+    /// When a runner that has named a limit or asked to wait may get a request of this host, after a short pause at
+    /// the earliest.
+    fn next_send(&self, job: &Job) -> Option<Instant> {
         let now = self.shared.now();
         let state = self.shared.state();
-        let next = state.fleet.next_rate_send(now, &job.admission.service)?;
-        Some(Instant::now() + now.until(next).max(MIN_RATE_WAIT))
+        let next = state.fleet.next_send(now, &job.admission.service)?;
+        Some(Instant::now() + now.until(next).max(MIN_WAIT))
     }
 
     /// Longest wait for room at brittle runners.
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -35,7 +35,7 @@
 use super::crashes;
 use super::held::{Held, HeldBody};
 use super::job::{AttemptLog, Job};
-use super::reply::retry_after;
+use super::reply::{retry_after, retry_after_wait};
 use super::slot::Slot;
 use crate::upstream::attempts;
 use crate::upstream::pool::Pool;
@@ -106,7 +106,7 @@
         let kind = match placement {
             Placement::Placed(choice) => {
                 log.candidates = choice.candidates;
-                if let Some(slot) = self.slot(&demand, &choice) {
+                if let Some(slot) = self.slot(now, &demand, &choice) {
                     log.history.record_choice(slot.key);
                     log.last_runner = Some(slot.id.clone());
                     log.last_software = Some(slot.software.label.clone());
@@ -157,7 +157,7 @@
     }
 
     /// Slot on a chosen runner.
-    fn slot(&self, demand: &Demand, choice: &Choice) -> Option<Slot> {
+    fn slot(&self, placed_at: Moment, demand: &Demand, choice: &Choice) -> Option<Slot> {
         let state = self.shared.state();
         let listed = &state.fleet.get(choice.key)?.listed;
         let (id, address, software) = (listed.id.clone(), listed.address, listed.software.clone());
@@ -178,6 +178,7 @@
             prefill_us: choice.prefill_us,
             kv_tokens: demand.kv_tokens(),
             conditions: choice.conditions,
+            placed_at,
             sent_at: None,
             cache_source,
         })
@@ -276,9 +277,30 @@
                 false => self.with_retry_after(job, refusal),
             }));
         }
-        match self.is_usable(now, slot, log.origin) {
+        match self.may_use(now, slot, log.origin) {
             true => Ok(()),
-            false => Err(AttemptError::Failed(Fault::Unreachable)),
+            false => {
+                self.log_withheld(now, job, slot);
+                Err(AttemptError::Failed(Fault::Unreachable))
+            }
+        }
+    }
+
+    /// Logs that a request is not sent to the runner that was chosen for it, if the runner has asked this host to wait.
+    fn log_withheld(&self, now: Moment, job: &Job, slot: &Slot) {
+        let state = self.shared.state();
+        let is_held = state
+            .fleet
+            .get(slot.key)
+            .is_some_and(|runner| runner.is_held_off(now));
+        drop(state);
+        if is_held {
+            self.shared.metrics.count_withheld("moved");
+            tracing::info!(
+                event = "request-withheld",
+                request = job.metadata.id,
+                runner = slot.id
+            );
         }
     }
 
@@ -389,14 +411,15 @@
         self.shared.state().fleet.set_idle(slot.key, idle);
     }
 
-    /// Whether a runner is listed, and has the version that began the stream.
-    fn is_usable(&self, now: Moment, slot: &Slot, origin: Origin) -> bool {
+    /// Whether the runner still takes the request, and has the version that began the stream.
+    fn may_use(&self, now: Moment, slot: &Slot, origin: Origin) -> bool {
         let state = self.shared.state();
-        let is_usable = |runner: &Runner| {
+        let is_of_version = |runner: &Runner| {
             let fits = |version| runner.known_version() == Some(version);
-            runner.is_listed(now) && origin.version().is_none_or(fits)
+            origin.version().is_none_or(fits)
         };
-        state.fleet.get(slot.key).is_some_and(is_usable)
+        state.fleet.get(slot.key).is_some_and(is_of_version)
+            && state.fleet.may_send(now, slot.key, slot.placed_at)
     }
 
     fn build_request(&self, now: Moment, job: &Job, after: Option<u64>, slot: &Slot) -> Request<Full<Bytes>> {
@@ -439,13 +462,26 @@
         self.with_retry_after(job, Refusal::new(kind))
     }
 
+    /// Time until one of a service's runners takes requests of this host again, if all have asked to wait.
+    fn wait_for_runners(&self, now: Moment, service: &str) -> Duration {
+        let state = self.shared.state();
+        let is_restricted = state.fleet.are_all_restricted(now, service);
+        let next = state.fleet.next_send(now, service).filter(|_| is_restricted);
+        next.map(|next| now.until(next)).unwrap_or_default()
+    }
+
     /// Adds the time after which the caller may retry.
     fn with_retry_after(&self, job: &Job, refusal: Refusal) -> Refusal {
         if refusal.repeat == Repeat::Never {
             return refusal;
         }
-        let time_left = job.time_left(self.shared.now());
-        refusal.retry_after(retry_after(time_left, rand::random()))
+        let now = self.shared.now();
+        let wait = self.wait_for_runners(now, &job.admission.service);
+        if !wait.is_zero() {
+            self.shared.metrics.count_withheld("refused");
+        }
+        let soonest = retry_after(job.time_left(now), rand::random());
+        refusal.retry_after(soonest.max(retry_after_wait(wait, rand::random())))
     }
 }
 
--- a/crates/entry/src/proxy/reply.rs
+++ b/crates/entry/src/proxy/reply.rs
@@ -116,3 +116,11 @@
     let spread = 0.5 + 0.5 * f64::from(draw) / f64::from(u32::MAX);
     longest.min(MAX_RETRY_AFTER).mul_f64(spread)
 }
+
+/// Share of the time until runners take requests again over which the callers that were refused are spread.
+const WAIT_SPREAD: f64 = 0.25;
+
+/// Time after which a caller may retry whose request no runner takes before `wait` has passed; `draw` spreads it.
+pub fn retry_after_wait(wait: Duration, draw: u32) -> Duration {
+    wait.mul_f64(1.0 + WAIT_SPREAD * f64::from(draw) / f64::from(u32::MAX))
+}
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -35,6 +35,8 @@
     pub(super) kv_tokens: u64,
     /// Conditions on the runner when it was chosen; its first event is compared with them.
     pub(super) conditions: Conditions,
+    /// Time at which the runner was chosen.
+    pub(super) placed_at: Moment,
     /// Time at which the request was sent to the runner.
     pub(super) sent_at: Option<Moment>,
     /// Address of a runner whose cache holds the beginning of the prompt.
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod freshness;
 mod gossip;
+mod holdoff;
 mod intake;
 mod latency;
 mod lease;
--- a/tests/suite/proxy/rate.rs
+++ b/tests/suite/proxy/rate.rs
@@ -216,7 +216,7 @@
 
     /// Whether a request may be sent soon that may not be sent now.
     fn may_wait(&self, ms: u64, host: usize) -> bool {
-        let next = self.hosts[host].fleet.next_rate_send(at(ms), SERVICE);
+        let next = self.hosts[host].fleet.next_send(at(ms), SERVICE);
         next.is_some_and(|next| at(ms).until(next) < Duration::from_millis(WAIT_MS))
     }
 
@@ -392,7 +392,7 @@
 
 fn may_send(state: &State, ms: u64) -> bool {
     let listed = state.fleet.runners().collect();
-    !state.fleet.within_rate(at(ms), listed).is_empty()
+    !state.fleet.cleared(at(ms), listed).is_empty()
 }
 
 /// Guards against a limit that goes on or comes back after an answer has said otherwise, also by reports.
@@ -493,8 +493,8 @@
     };
     let placement = state.place_in_time(at(20), &demand, &[], None);
     assert_eq!(placement, Placement::Overloaded { candidates: 1 });
-    assert!(state.fleet.are_all_limited(at(20), SERVICE));
-    let next = state.fleet.next_rate_send(at(20), SERVICE);
+    assert!(state.fleet.are_all_restricted(at(20), SERVICE));
+    let next = state.fleet.next_send(at(20), SERVICE);
     assert!(
         next.is_some_and(|next| next.since(at(20)) > Duration::from_secs(1)),
         "{next:?}"
