Send nothing new to a runner whose answers say that it shuts down

Cause: that a runner leaves was a field of its entry in the store. Change: it is one fact with three sources, the entry, any answer but that of another process, and the updates of other hosts; the first one binds and only a new process takes it back. Hosts of all zones are told at once, by the runner's id and the start of its process. It counts at the choice and before bytes leave, on all ways, and in the orders of runners. New requests stop at once, also where no runner is left; the way to use such runners until the bound there was weighed and not built.

In memory no order of entries, lapses, answers and reports sends to such a process.

--- a/crates/core/src/proxy/exchange.rs
+++ b/crates/core/src/proxy/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::State;
 use super::fleet::Key;
-use super::gossip::update::Update;
+use super::gossip::update::{Leaving, Update};
 use super::gossip::{self, CachedPrefix, Packet, PrefillRate, RateLimit};
 use super::reach::short_hash;
 use crate::id::{Incarnation, digest};
@@ -71,15 +71,18 @@
             .fleet
             .take_unreachable_if(|service, failed_at| reach.is_heard_since(service, failed_at));
         let rejected = self.fleet.take_rejections();
-        let has_news = !loads.is_empty() || !unreachable.is_empty() || !rejected.is_empty();
-        has_news.then_some(Update {
+        let leaving = self.fleet.take_leaving().into_iter().map(Leaving::from);
+        let update = Update {
             incarnation: me.0,
             report,
             number,
             loads,
             unreachable,
             rejected,
-        })
+            leaving: leaving.collect(),
+        };
+        let has_news = !update.loads.is_empty() || update.concerns_all_zones();
+        has_news.then_some(update)
     }
 
     /// Applies a change of another host's load, and what it could not reach.
@@ -95,6 +98,9 @@
                 self.fleet.record_rejection_report(now, key);
             }
         }
+        for leaving in &update.leaving {
+            self.fleet.apply_leaving_report((*leaving).into());
+        }
         self.peers.update(now, update, &mut self.fleet);
     }
 
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -13,6 +13,7 @@
 pub mod clearance;
 mod cold;
 pub mod holdoff;
+pub mod leaving;
 pub mod notice;
 pub mod rate;
 mod runner;
@@ -188,6 +189,7 @@
         if !is_same_process {
             runner.rate = rate::State::default();
             runner.hold_off = holdoff::State::default();
+            runner.leaving = leaving::State::default();
         }
         runner.belief.restart(sent, is_same_version);
         runner.replaced = false;
@@ -230,6 +232,7 @@
             has_rejected: false,
             rate: rate::State::default(),
             hold_off: holdoff::State::default(),
+            leaving: leaving::State::default(),
             zone_hash,
             first_seen,
             last_contact: Moment::default(),
--- a/crates/core/src/proxy/fleet/notice.rs
+++ b/crates/core/src/proxy/fleet/notice.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|---|
 //! | [brittle](super::brittle) | all | what all hosts send to the service | an answer without it |
 //! | [rate] | all; a rejection may leave it out | what all hosts send to the runner | an answer without it |
+//! | [leaving](super::leaving) | all | no host sends it new requests | the end of its process |
 //! | [hold-off](super::holdoff) | rejections | what this host sends to the runner | its latest end |
 
 use super::{Fleet, Key, holdoff, rate};
@@ -22,6 +23,8 @@
         pub rate: rate::Notice,
         /// For how long it wants nothing from this host.
         pub hold_off: holdoff::Notice,
+        /// Whether it shuts down.
+        pub is_leaving: bool,
     }
 }
 
@@ -48,6 +51,8 @@
         pub rate: Option<rate::Change>,
         /// Change of the time for which it wants nothing from this host.
         pub hold_off: Option<holdoff::Change>,
+        /// Whether it was not known that the runner shuts down.
+        pub has_begun_to_leave: bool,
     }
 }
 
@@ -65,6 +70,7 @@
         if answer == Answer::Misdirected {
             return changes;
         }
+        changes.has_begun_to_leave = notices.is_leaving && self.record_leaving(key);
         changes.brittle = self.record_brittle_notice(now, key, notices.max_rejections);
         if answer == Answer::Other || notices.rate != rate::Notice::Absent {
             changes.rate = self.record_rate(now, key, notices.rate);
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -5,7 +5,7 @@
 
 use super::super::latency::ms;
 use super::software::{Belief, Software};
-use super::{brittle, cold, holdoff};
+use super::{brittle, cold, holdoff, leaving};
 use crate::time::Moment;
 
 /// Weight of the newest answer in the failure rate. A host sees an answer of a runner every two
@@ -214,6 +214,8 @@
         pub(super) rate: super::rate::State,
         /// Time for which it wants nothing from this host.
         pub(super) hold_off: holdoff::State,
+        /// What answers say about whether it shuts down.
+        pub(super) leaving: leaving::State,
         /// Hash of its zone's name.
         pub(super) zone_hash: u64,
         /// Start of the current process as first seen; a new process has an empty cache.
@@ -243,14 +245,9 @@
         self.is_listed(now) && now.reached(retry_at)
     }
 
-    /// Whether it accepts new requests according to the list, and its zone is not evacuated.
+    /// Whether it accepts new requests according to the list and its answers, and its zone is not evacuated.
     pub fn is_listed(&self, now: Moment) -> bool {
-        self.is_present(now) && !self.replaced && !self.evacuated && self.listed.stage == Stage::Ready
-    }
-
-    /// Whether it is listed as shutting down.
-    pub fn is_leaving(&self, now: Moment) -> bool {
-        self.is_present(now) && self.listed.stage == Stage::Draining
+        self.is_present(now) && !self.replaced && !self.evacuated && !self.is_shutting_down()
     }
 
     /// Whether it is listed, or may be listed again after an outage of the store.
--- a/crates/core/src/proxy/gossip/update.rs
+++ b/crates/core/src/proxy/gossip/update.rs
@@ -11,6 +11,7 @@
 
 use super::Load;
 use super::datagram::{self, Kind};
+use crate::proxy::fleet::leaving;
 
 /// Updates that a host receives a second when all hosts of its zone are busy.
 const MAX_RECEIVED_PER_S: u32 = 300;
@@ -36,9 +37,46 @@
     /// Hashes of the brittle runners that have just rejected a request of the sender.
     #[prost(fixed64, repeated, tag = "6")]
     pub rejected: Vec<u64>,
+    /// Runners whose answers to the sender have just said that they shut down.
+    #[prost(message, repeated, tag = "7")]
+    pub leaving: Vec<Leaving>,
+}
+
+/// Process of a runner that shuts down.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Leaving {
+    /// Hash of the runner's id.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// Start of the process in milliseconds since the Unix epoch; 0 if unknown.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+}
+
+impl From<leaving::Report> for Leaving {
+    fn from(report: leaving::Report) -> Self {
+        Self {
+            runner: report.runner,
+            started_ms: report.started_ms,
+        }
+    }
+}
+
+impl From<Leaving> for leaving::Report {
+    fn from(leaving: Leaving) -> Self {
+        Self {
+            runner: leaving.runner,
+            started_ms: leaving.started_ms,
+        }
+    }
 }
 
 impl Update {
+    /// Whether it has news that concern the hosts of all zones.
+    pub fn concerns_all_zones(&self) -> bool {
+        !self.unreachable.is_empty() || !self.rejected.is_empty() || !self.leaving.is_empty()
+    }
+
     /// Datagram with this update.
     pub fn to_datagram(&self) -> Vec<u8> {
         datagram::encode(Kind::Update, self)
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -210,9 +210,9 @@
         self.updates += 1;
         let is_near = |peer: &SocketAddr| remote.binary_search(peer).is_err();
         send(&self.shared, &self.socket, UPDATE, &update.to_datagram(), is_near).await;
-        if !update.unreachable.is_empty() || !update.rejected.is_empty() {
-            // Hosts of all zones may send to a runner that could not be reached, or that has rejected
-            // a request. They do not need the loads.
+        if update.concerns_all_zones() {
+            // Hosts of all zones may send to a runner that could not be reached, has rejected a request
+            // or shuts down. They do not need the loads.
             let report = Update {
                 loads: Vec::new(),
                 ..update
--- a/crates/entry/src/proxy/notices.rs
+++ b/crates/entry/src/proxy/notices.rs
@@ -7,6 +7,9 @@
 
 /// Logs what the notices in a runner's answer to a request have changed.
 pub fn log(job: &Job, runner: &str, changes: &Changes) {
+    if changes.has_begun_to_leave {
+        tracing::info!(event = "runner-leaving", request = job.metadata.id, runner);
+    }
     if let Some(max_rejections) = changes.brittle {
         let service = &job.admission.service;
         tracing::warn!(event = "runners-brittle", service, max_rejections);
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -109,6 +109,9 @@
             .state()
             .fleet
             .record_notices(now, self.key, sent, answer, notices);
+        if changes.has_begun_to_leave {
+            self.shared.load_changed.notify_one();
+        }
         notices::log(job, &self.id, &changes);
     }
 
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -16,6 +16,7 @@
 mod intake;
 mod latency;
 mod lease;
+mod leaving;
 mod limits;
 mod memory;
 mod mirror;
--- a/tests/suite/proxy/overload.rs
+++ b/tests/suite/proxy/overload.rs
@@ -244,6 +244,7 @@
         number,
         loads: vec![load],
         unreachable: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
