Let senders wait for a new interval whenever it changes

Cause: when a cut divides the hosts, a sender of a limited runner that stays one goes over to the shorter interval of fewer senders at once, while the requests of the former senders still count.

Change: a change of the interval counts as a send, as a host that becomes a sender already had it.

--- a/crates/core/src/proxy/fleet/rate.rs
+++ b/crates/core/src/proxy/fleet/rate.rs
@@ -296,9 +296,11 @@
             is_sender.then(|| send_interval(limit, senders))
         });
         if let Some(runner) = self.get_mut(key) {
-            if runner.rate.interval.is_none() {
+            if runner.rate.interval != interval {
                 // Those that were senders before may just have sent.
                 runner.rate.sent_at = Some(now);
+            }
+            if runner.rate.interval.is_none() {
                 runner.rate.limited_at = now;
             }
             runner.rate.interval = interval;
--- a/tests/suite/proxy/rate.rs
+++ b/tests/suite/proxy/rate.rs
@@ -534,3 +534,19 @@
         outcome.most as f64 <= allowed(plan.per_s)
     }
 }
+
+/// Guards against senders that go over to a shorter interval at once when they no longer see some of the others.
+#[test]
+fn limits_are_kept_when_a_cut_divides_the_senders() {
+    for (hosts, per_s, load_per_s) in [(7, 3.95, 47.0), (25, 16.17, 152.0)] {
+        let plan = Plan {
+            hosts,
+            limited: 2,
+            per_s,
+            load_per_s,
+            is_cut: true,
+            ..CALM
+        };
+        check("cut that divides the senders", plan, 0);
+    }
+}
