Bound what an event without an end costs a host

Cause: the splitter of a stream searched all that it held again for each piece, and held up to 1 MB that the host's memory does not count. Class: work and memory that a sender chooses.

Change: each byte is searched once, in the own front as well; an event has 32 KB at most, and one over 8 KB is counted in the memory for large answers. Complete events before it are passed on. The runner counts as broken, and its callers go elsewhere within their budget.

--- a/crates/entry/src/front/sse.rs
+++ b/crates/entry/src/front/sse.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// Length of the buffered bytes that contain no end of an event.
+    searched: usize,
 }
 
 impl Splitter {
@@ -21,7 +23,14 @@
     /// Takes the data of the next complete event.
     pub fn next_event(&mut self) -> Option<Bytes> {
         loop {
-            let end = find_event_end(&self.buffer)?;
+            // An end may have begun in the bytes that were searched before.
+            let from = self.searched.saturating_sub(1);
+            let Some(found) = find_event_end(&self.buffer[from..]) else {
+                self.searched = self.buffer.len();
+                return None;
+            };
+            let end = from + found;
+            self.searched = 0;
             let event = self.buffer.split_to(end + 2).freeze();
             let line = event.slice(..end);
             if let Some(data) = line.strip_prefix(b"data: ") {
--- a/crates/entry/src/proxy/events.rs
+++ b/crates/entry/src/proxy/events.rs
@@ -6,9 +6,11 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event. A longer one ends the stream, so that a runner that
+/// Maximum size of an event; an engine puts a few tokens into one. A longer one ends the stream, so that a runner that
 /// never ends an event cannot exhaust this host's memory.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 32 * 1024;
+/// Longest end of an event.
+const LONGEST_END: &[u8] = b"\r\n\r\n";
 
 /// Complete events taken from a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -23,21 +25,35 @@
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     pending: BytesMut,
+    /// Length of the pending bytes that contain no end of an event.
+    searched: usize,
 }
 
 impl Splitter {
     /// Adds bytes and returns the events that are complete; `None` if one is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
         self.pending.extend_from_slice(bytes);
-        let end = complete_length(&self.pending);
-        if end == 0 && self.pending.len() > MAX_EVENT_BYTES {
+        // An end may have begun in the bytes that were searched before.
+        let from = self.searched.saturating_sub(LONGEST_END.len() - 1);
+        let end = match complete_length(&self.pending[from..]) {
+            0 => 0,
+            length => from + length,
+        };
+        let bytes = self.pending.split_to(end).freeze();
+        self.searched = self.pending.len();
+        // Events that were complete before it are returned first.
+        if end == 0 && self.searched > MAX_EVENT_BYTES {
             return None;
         }
-        let bytes = self.pending.split_to(end).freeze();
         let ids = ids(&bytes);
         Some(Events { bytes, ids })
     }
 
+    /// Bytes of the incomplete event.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether no incomplete event is pending.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
@@ -50,7 +66,7 @@
         let index = bytes.windows(pattern.len()).rposition(|window| window == pattern);
         index.map_or(0, |index| index + pattern.len())
     };
-    end_after_last(b"\n\n").max(end_after_last(b"\r\n\r\n"))
+    end_after_last(b"\n\n").max(end_after_last(LONGEST_END))
 }
 
 fn ids(bytes: &[u8]) -> Vec<u64> {
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -7,13 +7,15 @@
 use hyper::header::CONTENT_LENGTH;
 use radishstair_core::proxy::crash::{End, Suspect};
 use radishstair_core::proxy::fleet::AttemptResult;
+use radishstair_core::proxy::memory::Purpose;
 use radishstair_core::time::Moment;
 use tokio::time::timeout;
 
 use super::super::Shared;
 use super::super::crashes;
-use super::super::events::{Events, Splitter};
+use super::super::events::{Events, MAX_EVENT_BYTES, Splitter};
 use super::super::forward::{Forwarder, RunnerResponse};
+use super::super::held::Held;
 use super::super::job::Job;
 use super::super::slot::Slot;
 
@@ -22,6 +24,8 @@
 const MIN_SILENCE: Duration = Duration::from_millis(1_500);
 /// The same limit as a multiple of the operator's longest gap between events.
 const SILENCE_GAP_MULTIPLE: u32 = 2;
+/// Incomplete events up to this size, in bytes, are within the memory that is reserved for each request.
+const SMALL_EVENT_BYTES: usize = 8 * 1024;
 /// Duration that stands for no limit.
 pub const NO_LIMIT: Duration = Duration::from_secs(24 * 3_600);
 
@@ -42,6 +46,10 @@
 /// Reads the events of one runner's response.
 pub struct EventReader {
     splitter: Splitter,
+    /// Memory for an incomplete event.
+    held: Held,
+    /// Whether it has been reserved.
+    is_reserved: bool,
     /// Id of the last event received.
     pub last_event: Option<u64>,
 }
@@ -77,10 +85,13 @@
     pub fn new(response: RunnerResponse, last_event: Option<u64>) -> Self {
         let headers = &response.parts.headers;
         let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key("transfer-encoding");
+        let held = Held::empty(response.slot.shared.memory.clone());
         Self {
             response,
             events: EventReader {
                 splitter: Splitter::default(),
+                held,
+                is_reserved: false,
                 last_event,
             },
             is_break_recorded: false,
@@ -200,8 +211,13 @@
                 continue;
             };
             let Some(events) = self.splitter.push(bytes) else {
+                tracing::warn!(event = "event-too-long", last = self.last_event);
                 return Progress::Broken;
             };
+            if !self.reserve_pending() {
+                tracing::warn!(event = "event-not-kept", last = self.last_event);
+                return Progress::Broken;
+            }
             if events.bytes.is_empty() {
                 continue;
             }
@@ -212,6 +228,15 @@
         }
     }
 
+    /// Reserves memory for an event that is still incomplete after a few reads; returns whether it was available.
+    fn reserve_pending(&mut self) -> bool {
+        if self.splitter.pending() > SMALL_EVENT_BYTES && !self.is_reserved {
+            self.is_reserved = self.held.try_grow(Purpose::LargeAnswer, MAX_EVENT_BYTES as u64);
+            return self.is_reserved;
+        }
+        true
+    }
+
     /// Without a length or chunks, an incomplete event is the only sign of a break.
     fn on_eof(&self) -> Progress {
         match self.splitter.is_empty() {
--- a/tests/suite/proxy/events.rs
+++ b/tests/suite/proxy/events.rs
@@ -1,7 +1,7 @@
 //! Tests of splitting a byte stream into whole events.
 
 use quickcheck::quickcheck;
-use radishstair_entry::proxy::events::Splitter;
+use radishstair_entry::proxy::events::{MAX_EVENT_BYTES, Splitter};
 
 fn split(pieces: &[&[u8]]) -> (Vec<u8>, Vec<u64>, bool) {
     let mut splitter = Splitter::default();
@@ -53,3 +53,18 @@
     let kept = (0..4).map(|_| splitter.push(&piece)).collect::<Vec<_>>();
     assert!(kept[0].is_some() && kept[3].is_none());
 }
+
+/// Guards against an event without an end that is kept, and against events before it that are lost with it.
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut splitter = Splitter::default();
+    let first = splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: ").expect("short");
+    assert_eq!(first.ids, [1]);
+    let piece = [b'x'; 100];
+    let pieces = (0..).take_while(|_| splitter.push(&piece).is_some()).count();
+    assert!(pieces <= MAX_EVENT_BYTES / piece.len());
+    let mut splitter = Splitter::default();
+    let long = [b"id: 1\n\n".as_slice(), &vec![b'x'; MAX_EVENT_BYTES + 1]].concat();
+    assert_eq!(splitter.push(&long).expect("an event before it").ids, [1]);
+    assert_eq!(splitter.push(b"x"), None);
+}
