Bound the bytes that a host reads until the head of an answer is complete

What callers saw: while runners sent informational heads (103) without end, all requests of the host were late: answers came 7.2 s after requests with 5 s left. The HTTP client limits a single head and reads on through any number of informational ones, which kept the thread busy.

Change: a socket counts what is read from the sending of a request to the head of its answer, 128 KB at most; a single head has 64 KB. The store, the control API and peers are called over the same sockets.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -22,6 +22,7 @@
 
 pub mod attempts;
 pub mod connection;
+mod limited;
 pub mod pool;
 pub mod relay;
 
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -17,6 +17,8 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use super::limited::{Allowance, MAX_HEAD_BYTES, Socket};
+
 /// Time without an acknowledgement after which the operating system ends a connection
 /// (`TCP_USER_TIMEOUT`); a host that lost power sends no reset.
 ///
@@ -36,6 +38,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     task: AbortHandle,
     /// Peer that relays it.
     relay: Option<SocketAddr>,
@@ -68,13 +71,18 @@
     ///
     /// When the socket is closed.
     pub async fn over(stream: TcpStream, relay: Option<SocketAddr>) -> Result<Self> {
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (socket, allowance) = Socket::new(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await?;
         let task = tokio::spawn(async move {
             // An error also reaches whoever waits for the answer.
             let _ = connection.await;
         });
         Ok(Self {
             sender,
+            allowance,
             task: task.abort_handle(),
             relay,
         })
@@ -92,8 +100,12 @@
 
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
+        self.allowance.limit();
         match self.sender.try_send_request(request).await {
-            Ok(response) => SendResult::Response(response),
+            Ok(response) => {
+                self.allowance.lift();
+                SendResult::Response(response)
+            }
             Err(mut err) => match err.take_message() {
                 Some(_) => SendResult::NotSent,
                 None => SendResult::MaybeSent,
