Keep hold-offs on connections through peers

Cause: a runner that turns away a request which a peer connected for asks the peer to wait, as it sees only the peer. The host behind it reads the answer and knew that it may not send; the peer did not. In the other direction a host went on sending on kept connections through a peer that had been asked to wait. Class: who is told is not who sends.

Change: the host tells the peer, and a peer that connects for others tells them, at once with the changes of load and again with each report until the end. Kept connections through such a peer are left, and it is not asked for new ones. Where no host relays nothing is sent. The tests that build updates pass the time, which an update depends on now.

--- a/crates/core/src/proxy/exchange.rs
+++ b/crates/core/src/proxy/exchange.rs
@@ -3,7 +3,7 @@
 use super::State;
 use super::fleet::Key;
 use super::gossip::update::{Leaving, Update};
-use super::gossip::{self, CachedPrefix, Packet, PrefillRate, RateLimit};
+use super::gossip::{self, CachedPrefix, HoldOff, Packet, PrefillRate, RateLimit};
 use super::reach::short_hash;
 use crate::id::{Incarnation, digest};
 use crate::time::Moment;
@@ -34,6 +34,7 @@
             lost: reach.lost,
             brittle: self.fleet.brittle_services(now).map(short_hash).collect(),
             limits: self.rate_limits(now),
+            hold_offs: self.hold_offs(now),
             prefixes: std::mem::take(&mut self.announcements),
             ..gossip::packet(me, sequence, &self.fleet, self.meter.rates(now))
         }
@@ -44,6 +45,17 @@
         reports.map(RateLimit::from).collect()
     }
 
+    fn hold_offs(&self, now: Moment) -> Vec<HoldOff> {
+        let reports = self.fleet.hold_off_reports(now).into_iter();
+        reports.map(HoldOff::from).collect()
+    }
+
+    fn apply_hold_offs(&mut self, now: Moment, hold_offs: &[HoldOff]) {
+        for hold_off in hold_offs {
+            self.fleet.apply_hold_off_report(now, (*hold_off).into());
+        }
+    }
+
     /// Summary of this zone's load for the other zones.
     pub fn summary(&mut self, now: Moment, sequence: u64) -> Packet {
         let zone = self.fleet.zone.clone();
@@ -64,13 +76,17 @@
     }
 
     /// Changes of this host's load since the last packet or update; `None` without changes.
-    pub fn update(&mut self, me: Incarnation, report: u64, number: u32) -> Option<Update> {
+    pub fn update(&mut self, now: Moment, me: Incarnation, report: u64, number: u32) -> Option<Update> {
         let loads: Vec<gossip::Load> = self.fleet.take_changed().map(gossip::Load::of).collect();
         let reach = &self.reach;
         let unreachable = self
             .fleet
             .take_unreachable_if(|service, failed_at| reach.is_heard_since(service, failed_at));
         let rejected = self.fleet.take_rejections();
+        let hold_offs = match self.fleet.take_hold_off_news() {
+            true => self.hold_offs(now),
+            false => Vec::new(),
+        };
         let leaving = self.fleet.take_leaving().into_iter().map(Leaving::from);
         let update = Update {
             incarnation: me.0,
@@ -80,6 +96,7 @@
             unreachable,
             rejected,
             leaving: leaving.collect(),
+            hold_offs,
         };
         let has_news = !update.loads.is_empty() || update.concerns_all_zones();
         has_news.then_some(update)
@@ -98,6 +115,7 @@
                 self.fleet.record_rejection_report(now, key);
             }
         }
+        self.apply_hold_offs(now, &update.hold_offs);
         for leaving in &update.leaving {
             self.fleet.apply_leaving_report((*leaving).into());
         }
@@ -126,6 +144,7 @@
         }
         let reports = packet.limits.iter().map(|limit| (*limit).into());
         self.fleet.apply_rate_reports(now, reports);
+        self.apply_hold_offs(now, &packet.hold_offs);
         if packet.zone == self.fleet.zone {
             self.announced.add(&packet.prefixes);
         }
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -78,6 +78,8 @@
     zone_hosts: Vec<u64>,
     /// All live hosts, in the same way.
     all_hosts: Vec<u64>,
+    /// Hold-offs of peers.
+    peer_hold_offs: holdoff::Peers,
     /// Services whose runners crash when they reject too much.
     brittle: brittle::Brittle,
     /// This host among those that share the runners of these services.
@@ -102,6 +104,7 @@
             own_host: 0,
             zone_hosts: Vec::new(),
             all_hosts: Vec::new(),
+            peer_hold_offs: holdoff::Peers::default(),
             brittle: brittle::Brittle::default(),
             place: brittle::Place::default(),
         }
--- a/crates/core/src/proxy/fleet/holdoff.rs
+++ b/crates/core/src/proxy/fleet/holdoff.rs
@@ -9,6 +9,11 @@
 
 use std::time::Duration;
 
+mod peers;
+
+pub(super) use peers::Peers;
+pub use peers::Report;
+
 use super::clearance::Clearance;
 use super::{Fleet, Key, Runner};
 use crate::id::rendezvous_weight;
@@ -135,6 +140,11 @@
         self.until.is_some()
     }
 
+    /// Time for which the runner still wants nothing from this host.
+    fn remaining(&self, now: Moment) -> Duration {
+        self.until.map(|until| now.until(until)).unwrap_or_default()
+    }
+
     /// Whether the runner wants nothing from this host now.
     pub(super) fn is_held(&self, now: Moment) -> bool {
         self.until.is_some_and(|until| !now.reached(until))
@@ -163,7 +173,11 @@
     /// Records what a runner's rejection says about the time to wait; returns what has changed.
     pub fn record_hold_off(&mut self, now: Moment, key: Key, notice: Notice) -> Option<Change> {
         let delay = self.resume_delay(self.get(key)?);
-        self.get_mut(key)?.hold_off.record(now, notice, delay)
+        let change = self.get_mut(key)?.hold_off.record(now, notice, delay);
+        if matches!(change, Some(Change::Begun(_) | Change::Extended(_))) {
+            self.note_own_hold_off();
+        }
+        change
     }
 
     /// Time after the end of a hold-off until this host's first request: a part of the time over which all hosts are
--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -10,7 +10,7 @@
 
 use prost::Message;
 
-use super::fleet::{self, Fleet, rate};
+use super::fleet::{self, Fleet, holdoff, rate};
 use crate::id::{Incarnation, digest};
 use crate::time::Moment;
 
@@ -135,6 +135,40 @@
     pub age_ms: u32,
 }
 
+/// A runner that wants nothing from a host now.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct HoldOff {
+    /// Hash of the runner's id.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// Hash of the host's address.
+    #[prost(fixed64, tag = "2")]
+    pub host: u64,
+    /// Time for which it still wants nothing, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub remaining_ms: u32,
+}
+
+impl From<holdoff::Report> for HoldOff {
+    fn from(report: holdoff::Report) -> Self {
+        Self {
+            runner: report.runner,
+            host: report.host,
+            remaining_ms: u32::try_from(report.remaining.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<HoldOff> for holdoff::Report {
+    fn from(hold_off: HoldOff) -> Self {
+        Self {
+            runner: hold_off.runner,
+            host: hold_off.host,
+            remaining: Duration::from_millis(hold_off.remaining_ms.into()),
+        }
+    }
+}
+
 impl From<rate::Report> for RateLimit {
     fn from(report: rate::Report) -> Self {
         Self {
@@ -212,6 +246,9 @@
     /// Limits that the sender knows of.
     #[prost(message, repeated, tag = "18")]
     pub limits: Vec<RateLimit>,
+    /// Hosts that connect to runners for others, and runners that want nothing from them now.
+    #[prost(message, repeated, tag = "19")]
+    pub hold_offs: Vec<HoldOff>,
 }
 
 /// Time between packets for this number of hosts.
--- a/crates/core/src/proxy/gossip/update.rs
+++ b/crates/core/src/proxy/gossip/update.rs
@@ -9,8 +9,8 @@
 
 use prost::Message;
 
-use super::Load;
 use super::datagram::{self, Kind};
+use super::{HoldOff, Load};
 use crate::proxy::fleet::leaving;
 
 /// Updates that a host receives a second when all hosts of its zone are busy.
@@ -40,6 +40,9 @@
     /// Runners whose answers to the sender have just said that they shut down.
     #[prost(message, repeated, tag = "7")]
     pub leaving: Vec<Leaving>,
+    /// Hosts that connect to runners for others, and runners that want nothing from them now.
+    #[prost(message, repeated, tag = "8")]
+    pub hold_offs: Vec<HoldOff>,
 }
 
 /// Process of a runner that shuts down.
@@ -74,7 +77,10 @@
 impl Update {
     /// Whether it has news that concern the hosts of all zones.
     pub fn concerns_all_zones(&self) -> bool {
-        !self.unreachable.is_empty() || !self.rejected.is_empty() || !self.leaving.is_empty()
+        !self.unreachable.is_empty()
+            || !self.rejected.is_empty()
+            || !self.leaving.is_empty()
+            || !self.hold_offs.is_empty()
     }
 
     /// Datagram with this update.
--- a/crates/entry/src/proxy/connect.rs
+++ b/crates/entry/src/proxy/connect.rs
@@ -7,10 +7,12 @@
 use radishstair_core::proxy::State;
 use radishstair_core::proxy::fleet::{AttemptResult, Key, Liveness, Way};
 use radishstair_core::proxy::reach::{Failure, Phase, Vouch};
+use radishstair_core::proxy::readers::Host;
 use radishstair_core::retry::Fault;
 use radishstair_core::time::Moment;
 
 use super::forward::Forwarder;
+use super::gossip::address_hash;
 use super::job::Job;
 use super::paths;
 use super::slot::Slot;
@@ -144,14 +146,15 @@
             return Ok(connection);
         }
         while let Some(connection) = self.pool.take_idle(now, slot.address, once, Way::Relayed).await {
-            if self.is_relay_sound(now, &connection, &job.admission.service) {
+            if self.is_relay_sound(now, &connection, slot.key, &job.admission.service) {
                 return Ok(connection);
             }
         }
         let (own, hosts) = (self.shared.own_host(), self.shared.hosts());
-        let mut tried = Vec::new();
+        let mut tried = self.held_off_peers(now, slot.key, &hosts);
+        let max_tried = tried.len() + MAX_RELAYS;
         let mut failure = relay::Failure::Peer;
-        while tried.len() < MAX_RELAYS {
+        while tried.len() < max_tried {
             let now = self.shared.now();
             let limit = job.time_left(now).unwrap_or(RELAY_TIMEOUT).min(RELAY_TIMEOUT);
             let peer = {
@@ -171,7 +174,7 @@
             event = "runner-unreachable",
             request = job.metadata.id,
             runner = slot.id,
-            relays = tried.len(),
+            relays = tried.len() + MAX_RELAYS - max_tried,
             fault = failure.name()
         );
         if failure == relay::Failure::Runner {
@@ -180,11 +183,21 @@
         Err(Fault::Unreachable)
     }
 
-    /// Whether the peer that relays a connection has not lost its own path since.
-    fn is_relay_sound(&self, now: Moment, connection: &Connection, service: &str) -> bool {
+    /// Whether the peer that relays a connection has neither lost its own path nor been asked to wait since.
+    fn is_relay_sound(&self, now: Moment, connection: &Connection, key: Key, service: &str) -> bool {
         let state = self.shared.state();
-        let vouch = |peer| state.reach.vouch(now, peer, service).0;
-        connection.relay().is_none_or(|peer| vouch(peer) != Vouch::Lost)
+        connection.relay().is_none_or(|peer| {
+            state.reach.vouch(now, peer, service).0 != Vouch::Lost
+                && !state.fleet.is_peer_held_off(now, key, address_hash(peer))
+        })
+    }
+
+    /// Peers from which a runner wants nothing now.
+    fn held_off_peers(&self, now: Moment, key: Key, hosts: &[Host]) -> Vec<SocketAddr> {
+        let state = self.shared.state();
+        let addresses = hosts.iter().map(|host| host.address);
+        let held = addresses.filter(|peer| state.fleet.is_peer_held_off(now, key, address_hash(*peer)));
+        held.collect()
     }
 
     /// Has a peer connect to the runner.
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -114,6 +114,7 @@
         let now = self.shared.now();
         let (mut packet, hosts) = {
             let mut state = self.shared.state();
+            state.fleet.set_relaying(self.shared.relayed.open() > 0);
             (
                 state.packet(now, self.shared.incarnation, self.sequence),
                 state.hosts,
@@ -202,7 +203,9 @@
     async fn send_update(&mut self, remote: &[SocketAddr]) {
         let update = {
             let mut state = self.shared.state();
-            state.update(self.shared.incarnation, self.sequence, self.updates + 1)
+            state.fleet.set_relaying(self.shared.relayed.open() > 0);
+            let now = self.shared.now();
+            state.update(now, self.shared.incarnation, self.sequence, self.updates + 1)
         };
         let Some(update) = update else {
             return;
@@ -296,13 +299,22 @@
 }
 
 fn host_hash(host: Host) -> u64 {
-    digest(host.address.to_string().as_bytes())
+    address_hash(host.address)
+}
+
+/// Hash by which hosts name each other.
+pub(super) fn address_hash(address: SocketAddr) -> u64 {
+    digest(address.to_string().as_bytes())
 }
 
 /// Whether a packet has loads, a usage record, cached prefixes, lost services or limits.
 fn is_informative(packet: &Packet) -> bool {
     let has_load = !packet.loads.is_empty() || !packet.prefixes.is_empty();
-    has_load || !packet.record.is_empty() || !packet.lost.is_empty() || !packet.limits.is_empty()
+    has_load
+        || !packet.record.is_empty()
+        || !packet.lost.is_empty()
+        || !packet.limits.is_empty()
+        || !packet.hold_offs.is_empty()
 }
 
 /// Packet that announces changes read from the store.
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -10,6 +10,7 @@
 use radishstair_core::proxy::reach::Failure;
 use radishstair_core::time::Moment;
 
+use super::gossip::address_hash;
 use super::job::Job;
 use super::{Shared, notices, paths};
 
@@ -109,7 +110,14 @@
             .state()
             .fleet
             .record_notices(now, self.key, sent, answer, notices);
-        if changes.has_begun_to_leave {
+        if let Some(peer) = self.relay.filter(|_| answer == Answer::Rejected) {
+            let peer = address_hash(peer);
+            let mut state = self.shared.state();
+            state
+                .fleet
+                .record_peer_hold_off(now, self.key, peer, notices.hold_off);
+        }
+        if changes.has_begun_to_leave || changes.hold_off.is_some() {
             self.shared.load_changed.notify_one();
         }
         notices::log(job, &self.id, &changes);
--- a/tests/suite/proxy/brittle.rs
+++ b/tests/suite/proxy/brittle.rs
@@ -265,9 +265,15 @@
         assert!(!may_use(&hosts[sender], ms), "{ms}");
     }
     assert!(may_use(&hosts[sender], 1_300));
-    let update = hosts[sender].update(Incarnation(1), 1, 1).expect("news");
+    let update = hosts[sender]
+        .update(at(1_300), Incarnation(1), 1, 1)
+        .expect("news");
     assert_eq!(update.rejected.len(), 1);
-    assert_eq!(hosts[sender].update(Incarnation(1), 1, 2), None, "told once");
+    assert_eq!(
+        hosts[sender].update(at(1_300), Incarnation(1), 1, 2),
+        None,
+        "told once"
+    );
     let other = (0..hosts.len()).find(|host| *host != sender && may_use(&hosts[*host], 30));
     let other = &mut hosts[other.expect("another host that uses it")];
     let loaded = |state: &mut State| {
--- a/tests/suite/proxy/holdoff.rs
+++ b/tests/suite/proxy/holdoff.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::{TestResult, quickcheck};
-use radishstair_core::id::digest;
+use radishstair_core::id::{Incarnation, digest};
 use radishstair_core::proxy::State;
 use radishstair_core::proxy::fleet::holdoff::{Change, Notice};
 use radishstair_core::proxy::fleet::notice::{Answer, Notices};
@@ -333,3 +333,66 @@
         }
     }
 }
+
+/// Guards against a peer that is asked to wait on behalf of another host and does not know, and against a host that
+/// sends through a peer which has been asked to wait.
+#[test]
+fn hosts_and_peers_tell_each_other_of_hold_offs() {
+    let mut hosts = hosts(3, 1);
+    let ids: Vec<u64> = {
+        let mut ids: Vec<u64> = (0..3usize).map(|host| digest(&host.to_le_bytes())).collect();
+        ids.sort_unstable();
+        ids
+    };
+    let key = hosts[0].fleet.find("r000").expect("listed");
+    let (asker, peer, other) = (0, 1, 2);
+    // The runner turns the peer away, to which the asker has sent a request.
+    hosts[asker]
+        .fleet
+        .record_peer_hold_off(at(0), key, ids[peer], Notice::For(millis(3_000)));
+    assert!(hosts[asker].fleet.is_peer_held_off(at(2_900), key, ids[peer]));
+    let update = hosts[asker].update(at(10), Incarnation(1), 1, 1).expect("news");
+    assert!(update.concerns_all_zones());
+    assert_eq!(
+        hosts[asker].update(at(20), Incarnation(1), 1, 2),
+        None,
+        "told once"
+    );
+    let packet = hosts[asker].packet(at(200), Incarnation(1), 2);
+    assert_eq!(
+        packet.hold_offs.len(),
+        1,
+        "told again in case that the update is lost"
+    );
+    hosts[peer].receive_update(at(11), update.clone());
+    assert!(hosts[peer].fleet.get(key).expect("listed").is_held_off(at(2_900)));
+    assert_eq!(hosts[peer].relay_target(at(2_900), "r000"), None);
+    hosts[other].receive(at(201), Incarnation(3), packet);
+    assert!(!hosts[other].fleet.get(key).expect("listed").is_held_off(at(300)));
+    assert!(hosts[other].fleet.is_peer_held_off(at(300), key, ids[peer]));
+    // The runner turns the peer away by itself.
+    let alone = hosts[other]
+        .fleet
+        .record_hold_off(at(5_000), key, Notice::For(millis(3_000)));
+    assert!(alone.is_some());
+    assert_eq!(
+        hosts[other].update(at(5_010), Incarnation(3), 2, 1),
+        None,
+        "it connects for nobody"
+    );
+    hosts[peer].fleet.set_relaying(true);
+    hosts[peer]
+        .fleet
+        .record_hold_off(at(5_000), key, Notice::For(millis(3_000)));
+    let update = hosts[peer].update(at(5_010), Incarnation(2), 1, 1).expect("news");
+    hosts[asker].receive_update(at(5_011), update);
+    assert!(hosts[asker].fleet.is_peer_held_off(at(7_900), key, ids[peer]));
+    assert!(!hosts[asker].fleet.is_peer_held_off(at(8_100), key, ids[peer]));
+    assert!(
+        !hosts[asker]
+            .fleet
+            .get(key)
+            .expect("listed")
+            .is_held_off(at(5_020))
+    );
+}
--- a/tests/suite/proxy/leaving.rs
+++ b/tests/suite/proxy/leaving.rs
@@ -68,13 +68,13 @@
     let mut first = host();
     let mut other = host();
     hear(&mut first, 10, Answer::Other);
-    let update = first.update(Incarnation(1), 1, 1).expect("news");
+    let update = first.update(at(15), Incarnation(1), 1, 1).expect("news");
     assert!(update.concerns_all_zones());
-    assert_eq!(first.update(Incarnation(1), 1, 2), None, "told once");
+    assert_eq!(first.update(at(15), Incarnation(1), 1, 2), None, "told once");
     other.receive_update(at(20), update.clone());
     assert_eq!(count(&other, 20), 0);
     assert_eq!(
-        other.update(Incarnation(2), 1, 1),
+        other.update(at(25), Incarnation(2), 1, 1),
         None,
         "what was told is not passed on"
     );
@@ -110,7 +110,7 @@
                 }
                 4 => {
                     hear(&mut teller, ms, Answer::Rejected);
-                    if let Some(update) = teller.update(Incarnation(2), ms, 1) {
+                    if let Some(update) = teller.update(at(ms), Incarnation(2), ms, 1) {
                         host.receive_update(at(ms), update);
                         has_left = true;
                     }
--- a/tests/suite/proxy/memory.rs
+++ b/tests/suite/proxy/memory.rs
@@ -107,7 +107,7 @@
         }
         let number = number as u32 + 1;
         in_flight.extend(
-            host.update(Incarnation(sender as u64 + 1), 1, number)
+            host.update(at(ms), Incarnation(sender as u64 + 1), 1, number)
                 .map(|update| (ms, update)),
         );
     }
--- a/tests/suite/proxy/overload.rs
+++ b/tests/suite/proxy/overload.rs
@@ -245,6 +245,7 @@
         loads: vec![load],
         unreachable: Vec::new(),
         leaving: Vec::new(),
+        hold_offs: Vec::new(),
     }
 }
 
--- a/tests/suite/proxy/relay.rs
+++ b/tests/suite/proxy/relay.rs
@@ -257,18 +257,18 @@
     state.configure(table_with_cold_starts());
     fail(&mut state, 10, "e0");
     assert_eq!(
-        state.update(Incarnation(1), 1, 1),
+        state.update(at(700), Incarnation(1), 1, 1),
         None,
         "its own path may be at fault"
     );
     fail(&mut state, 220, "e1");
-    assert_eq!(state.update(Incarnation(1), 1, 2), None, "it is");
+    assert_eq!(state.update(at(700), Incarnation(1), 1, 2), None, "it is");
     let mut other = host();
     other.configure(table_with_cold_starts());
     fail(&mut other, 10, "e0");
     let e1 = key(&other, "e1");
     other.record_heard(at(30), e1);
-    let update = other.update(Incarnation(2), 1, 1).expect("a report");
+    let update = other.update(at(700), Incarnation(2), 1, 1).expect("a report");
     assert_eq!(update.unreachable.len(), 1);
 }
 
--- a/tests/suite/proxy/zone.rs
+++ b/tests/suite/proxy/zone.rs
@@ -354,7 +354,7 @@
 
     fn send_update(&mut self, ms: u64, host: usize) {
         let (report, updates) = self.sent[host];
-        let update = self.hosts[host].update(Incarnation(1 + host as u64), report, updates + 1);
+        let update = self.hosts[host].update(moment(ms), Incarnation(1 + host as u64), report, updates + 1);
         if let Some(update) = update {
             self.sent[host].1 += 1;
             self.in_flight.push((ms + DELAY_MS, host, update));
