Keep the shared retry budget while a fleet grows, shrinks or starts again

Cause: a host's part of the slack follows the number of hosts at once, while what others have used of larger parts, or hosts that have ended of theirs, still counts for a window. Class: a share that forgets what was spent under the former one.

Change: a host's part is that in the largest fleet which it has known within the window, and a quarter of it in its first window: the parts of all hosts are 0.8 of the bound at most, and a quarter of that is the rest.

Hosts that become more after a while (1 to 2, 2 to 8, 8 to 80, 80 to 1,000) and 8 hosts that all start again stay inside.

--- a/crates/core/src/proxy/budget.rs
+++ b/crates/core/src/proxy/budget.rs
@@ -2,6 +2,10 @@
 //!
 //! Each host may retry the given ratio of its own requests, plus its part of the slack, so the
 //! sum over all hosts stays within the bound. This limits retry storms after an outage.
+//!
+//! What hosts have used counts for a window, also when they have ended or their parts have become smaller. A host's
+//! part is therefore that in the largest fleet which it has known within the window. In its first window it has a quarter,
+//! so that what all other hosts may have used fits beside the parts of any number of hosts that have just started.
 
 use std::collections::VecDeque;
 
@@ -14,6 +18,8 @@
 /// Share of the bound that is used. The window slides, but requests are counted in buckets of
 /// half a second, a twentieth of the usual window.
 const USED_SHARE: f64 = 0.8;
+/// Share of its part that a host uses in its first window: what the others leave of the bound, by their parts.
+const FIRST_WINDOW_SHARE: f64 = (1.0 - USED_SHARE) / USED_SHARE;
 /// Number of hosts that may be alive but are not counted, such as one that has just started or
 /// one that is considered dead.
 const UNKNOWN_HOSTS: u32 = 1;
@@ -51,23 +57,63 @@
         }
     }
 
-    fn has_retry(&mut self, now: Moment, bounds: &Bounds, hosts: u32) -> bool {
+    fn has_retry(&mut self, now: Moment, bounds: &Bounds, slack: f64) -> bool {
         self.expire(now, bounds.repeat_window_s);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = bounds.repeat_slack / f64::from(hosts.max(1) + UNKNOWN_HOSTS);
         let allowed = USED_SHARE * (f64::from(requests) * bounds.repeat_ratio + slack);
         f64::from(retries + 1) <= allowed
     }
 }
 
+/// Numbers of hosts that were known lately.
+#[derive(Clone, Debug, Default)]
+struct Size {
+    /// Bucket in which a number was first known.
+    first: Option<u64>,
+    /// Buckets and the largest number known in each.
+    known: VecDeque<(u64, u32)>,
+}
+
+impl Size {
+    fn record(&mut self, now: Moment, hosts: u32) {
+        let at = now.mono_us / BUCKET_US;
+        self.first.get_or_insert(at);
+        match self.known.back_mut() {
+            Some((last, most)) if *last == at => *most = hosts.max(*most),
+            _ => self.known.push_back((at, hosts)),
+        }
+    }
+
+    /// This host's part of the slack, if it knows of this many hosts.
+    fn part(&mut self, now: Moment, bounds: &Bounds, hosts: u32) -> f64 {
+        self.record(now, hosts);
+        let oldest = (now.mono_us / BUCKET_US).saturating_sub(bounds.repeat_window_s * 1_000_000 / BUCKET_US);
+        while self.known.front().is_some_and(|(at, _)| *at < oldest) {
+            self.known.pop_front();
+        }
+        let most = self.known.iter().map(|(_, hosts)| *hosts).max().unwrap_or(hosts);
+        let share = match self.first.is_some_and(|first| first <= oldest) {
+            true => 1.0,
+            false => FIRST_WINDOW_SHARE,
+        };
+        share * bounds.repeat_slack / f64::from(most.max(1) + UNKNOWN_HOSTS)
+    }
+}
+
 /// Retry budgets by service.
 #[derive(Clone, Debug, Default)]
 pub struct Budgets {
     services: Services<Service>,
+    size: Size,
 }
 
 impl Budgets {
+    /// Records the number of hosts that this host knows of.
+    pub fn record_hosts(&mut self, now: Moment, hosts: u32) {
+        self.size.record(now, hosts);
+    }
+
     /// Counts a caller's request to a service.
     pub fn count(&mut self, now: Moment, service: &str) {
         self.services.get_or_default(service).bucket(now).requests += 1;
@@ -75,8 +121,9 @@
 
     /// Takes one retry from a service's budget, if any is left.
     pub fn take(&mut self, now: Moment, service: &str, bounds: &Bounds, hosts: u32) -> bool {
+        let slack = self.size.part(now, bounds, hosts);
         let service = self.services.get_or_default(service);
-        let is_left = service.has_retry(now, bounds, hosts);
+        let is_left = service.has_retry(now, bounds, slack);
         if is_left {
             service.bucket(now).retries += 1;
         }
@@ -85,8 +132,9 @@
 
     /// Whether a service's budget has a retry left.
     pub fn has_retry(&mut self, now: Moment, service: &str, bounds: &Bounds, hosts: u32) -> bool {
+        let slack = self.size.part(now, bounds, hosts);
         self.services
             .get_or_default(service)
-            .has_retry(now, bounds, hosts)
+            .has_retry(now, bounds, slack)
     }
 }
--- a/tests/suite/proxy/budget.rs
+++ b/tests/suite/proxy/budget.rs
@@ -137,6 +137,50 @@
     fleet.assert_within_budget(20_000);
 }
 
+/// Guards against the same where the hosts that were there before have had their whole parts for long.
+#[test]
+fn a_fleet_that_grows_after_a_while_stays_inside_the_shared_budget() {
+    for (before, after) in [(1, 2), (2, 8), (8, 80), (80, 1_000)] {
+        let mut fleet = Fleet::new(after);
+        for host in 0..before {
+            fleet.retry(0, host, 0, before);
+            fleet.hosts[host].record_hosts(at(0), before as u32);
+        }
+        for host in 0..before {
+            fleet.retry(20_000, host, ALL, before);
+        }
+        for host in before..after {
+            fleet.retry(20_500, host, ALL, after);
+        }
+        for host in 0..after {
+            fleet.retry(24_000, host, ALL, after);
+        }
+        fleet.assert_within_budget(40_000);
+        assert!(
+            fleet.retries.len() > after / 4,
+            "{before} to {after}: {}",
+            fleet.retries.len()
+        );
+    }
+}
+
+/// Guards against more retries than allowed as hosts that start again forget what they have used.
+#[test]
+fn a_fleet_whose_hosts_start_again_stays_inside_the_shared_budget() {
+    let mut fleet = Fleet::new(8);
+    for host in 0..8 {
+        fleet.hosts[host].record_hosts(at(0), 8);
+    }
+    for host in 0..8 {
+        fleet.retry(20_000, host, ALL, 8);
+    }
+    for host in 0..8 {
+        fleet.hosts[host] = Budgets::default();
+        fleet.retry(21_000, host, ALL, 8);
+    }
+    fleet.assert_within_budget(40_000);
+}
+
 /// Guards against more retries than allowed while a fleet shrinks. The hosts that are left get the
 /// parts of those that have ended, which these have used.
 #[test]
