Keep the own front from runners that have asked this host to wait

Cause: the own front has the gap of the proxy: a rejection of its upstreams that names a time to wait was a failure with a pause of its own, which the next success ended.

Change: the time is read by the same rule (seconds, dates, the longest, an hour at most) in one place that both fronts use; the latest end binds until the runner's process ends.

Evidence: a_runner_that_asks_this_host_to_wait_gets_no_calls, in memory; not played live.

--- a/crates/core/src/kernel.rs
+++ b/crates/core/src/kernel.rs
@@ -8,6 +8,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::at_most_once::{Completion, Key, Verdict};
 use crate::config::view::View;
@@ -91,6 +92,8 @@
         Cancel(CallId),
         /// A runner announced that it is leaving.
         RunnerLeaving(String),
+        /// A runner rejected a call and wants none for some time.
+        RunnerHoldOff(String, Duration),
         /// Usage of one call.
         RecordUsage(Record),
         /// Answer from the store.
@@ -452,6 +455,7 @@
         | Event::Release { .. }
         | Event::Cancel(_)
         | Event::RunnerLeaving(_)
+        | Event::RunnerHoldOff(..)
         | Event::RunnerList(_) => Recipient::One(DISPATCH),
         Event::RecordUsage(_) | Event::Collect(..) | Event::Collected(_) | Event::ReportAnswer(_) => {
             Recipient::One(USAGE)
--- a/crates/core/src/kernel/dispatch.rs
+++ b/crates/core/src/kernel/dispatch.rs
@@ -102,6 +102,10 @@
                 self.dispatcher.runners.mark_leaving(now, name);
                 Vec::new()
             }
+            Event::RunnerHoldOff(name, length) => {
+                self.dispatcher.runners.hold_off(now, name, *length);
+                Vec::new()
+            }
             Event::Heartbeat(heartbeat) => {
                 self.on_heartbeat(now, heartbeat);
                 Vec::new()
--- a/crates/core/src/runner.rs
+++ b/crates/core/src/runner.rs
@@ -22,6 +22,8 @@
 const MIN_BACKOFF: Duration = Duration::from_secs(1);
 /// Maximum back-off of a runner.
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
+/// Longest time for which a host waits, whatever a runner asks.
+const MAX_HOLD_OFF: Duration = Duration::from_secs(3_600);
 /// How long a peer's reported calls count without a newer heartbeat.
 const PEER_LOAD_TTL: Duration = Duration::from_secs(20);
 /// Minimum length of a round, at whose end its calls count as reported to all peers.
@@ -70,13 +72,15 @@
         /// Consecutive failures.
         failures: u32,
         backoff_until: Moment,
+        /// Until when it wants nothing from this host.
+        held_until: Moment,
     }
 }
 
 impl Runner {
     /// Whether new calls may start on it.
     pub fn is_available(&self, now: Moment) -> bool {
-        !self.delisted && !self.is_leaving(now) && now.reached(self.backoff_until)
+        !self.delisted && !self.is_leaving(now) && now.reached(self.backoff_until.max(self.held_until))
     }
 
     /// Whether it is leaving, according to the list or to a notice.
@@ -138,6 +142,7 @@
             runner.notice_at = None;
             runner.failures = 0;
             runner.backoff_until = Moment::default();
+            runner.held_until = Moment::default();
             runner.ms_per_token = 0.0;
         }
         runner.listing = listing;
@@ -158,6 +163,7 @@
             notice_at: None,
             failures: 0,
             backoff_until: Moment::default(),
+            held_until: Moment::default(),
         });
     }
 
@@ -243,6 +249,14 @@
         runner.backoff_until = now + backoff.min(MAX_BACKOFF);
     }
 
+    /// Records that a runner wants nothing from this host for some time. The latest end binds, until its process ends.
+    pub fn hold_off(&mut self, now: Moment, name: &str, length: Duration) {
+        if let Some(key) = self.find(name) {
+            let runner = &mut self.arena[key.index()];
+            runner.held_until = runner.held_until.max(now + length.min(MAX_HOLD_OFF));
+        }
+    }
+
     /// Records a notice that a runner leaves; returns whether that was not known.
     pub fn mark_leaving(&mut self, now: Moment, name: &str) -> bool {
         let Some(key) = self.find(name) else {
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -29,7 +29,7 @@
 use crate::peers::dialer::Dialer;
 use crate::upstream::attempts;
 use crate::upstream::pool::Pool;
-use crate::upstream::{self, Exchange, Failure, RunnerRequest, has_leaving_notice};
+use crate::upstream::{self, Exchange, Failure, RunnerRequest, notify_of_notices};
 
 mod answer;
 mod guard;
@@ -434,9 +434,7 @@
             Failure::NotSent => (failure, Kind::NoRunner.into()),
             Failure::MaybeSent => (failure, Kind::UpstreamBroken.into()),
         })?;
-        if has_leaving_notice(&answer) {
-            self.handle.notify(Event::RunnerLeaving(assignment.name.clone()));
-        }
+        notify_of_notices(&self.handle, &assignment.name, &answer);
         let returned_id = answer
             .headers()
             .get(http::REQUEST_ID)
--- a/crates/entry/src/front/chat/job.rs
+++ b/crates/entry/src/front/chat/job.rs
@@ -25,7 +25,7 @@
 use crate::metrics::ClassLabel;
 use crate::upstream::attempts::{self, AttemptError, Attempts};
 use crate::upstream::pool::Pool;
-use crate::upstream::{self, Exchange, Failure, ResponseConnection, RunnerRequest, has_leaving_notice};
+use crate::upstream::{self, Exchange, Failure, ResponseConnection, RunnerRequest, notify_of_notices};
 
 /// Attempts at runners for one request.
 const MAX_ATTEMPTS: u32 = 3;
@@ -247,9 +247,7 @@
             Failure::NotSent => Kind::NoRunner,
             Failure::MaybeSent => Kind::UpstreamBroken,
         })?;
-        if has_leaving_notice(&answer) {
-            self.handle.notify(Event::RunnerLeaving(assignment.name.clone()));
-        }
+        notify_of_notices(&self.handle, &assignment.name, &answer);
         if answer.status() != hyper::StatusCode::OK {
             let detail = format!("the runner answered {}", answer.status());
             return Err(Refusal::new(Kind::UpstreamBroken).detail(detail).into());
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -16,16 +16,20 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, Response};
 use radishstair_core::dispatch::Assignment;
+use radishstair_core::kernel::Event;
+use radishstair_core::proxy::fleet::holdoff::Notice;
 use radishstair_core::retry::Fault;
 use radishstair_core::time::Moment;
 use radishstair_wire::http;
 
 pub mod attempts;
 pub mod connection;
+pub mod hold_off;
 mod limited;
 pub mod pool;
 pub mod relay;
 
+use crate::handle::Handle;
 use connection::{Connection, SendResult};
 use pool::Pool;
 
@@ -163,7 +167,21 @@
         .map_err(|_| Failure::NotSent)
 }
 
-/// Whether an answer has the header by which a runner announces that it leaves.
-pub fn has_leaving_notice(answer: &Response<Incoming>) -> bool {
-    answer.headers().contains_key(http::LEAVING)
+/// Tells the kernel what a runner says about itself in an answer.
+pub fn notify_of_notices(handle: &Handle, runner: &str, answer: &Response<Incoming>) {
+    if answer.headers().contains_key(http::LEAVING) {
+        handle.notify(Event::RunnerLeaving(runner.to_string()));
+    }
+    match hold_off::notice(answer.status(), answer.headers()) {
+        Notice::For(length) => {
+            tracing::info!(
+                event = "runner-hold-off",
+                runner,
+                wait_ms = Notice::For(length).wait_ms()
+            );
+            handle.notify(Event::RunnerHoldOff(runner.to_string(), length));
+        }
+        Notice::Malformed => tracing::debug!(event = "runner-hold-off-malformed", runner),
+        Notice::Absent => {}
+    }
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -229,6 +229,30 @@
     assert!(dispatcher.finish(now, &first, runner, &outcome).is_empty());
 }
 
+/// Guards against calls to a runner of the own front that has asked this host to wait, whatever comes after it.
+#[test]
+fn a_runner_that_asks_this_host_to_wait_gets_no_calls() {
+    let mut dispatcher = dispatcher(DOCUMENT, &[("p", "a", 4), ("p", "b", 4)]);
+    let at = |ms: u64| Moment::at_ms(1_000 + ms);
+    dispatcher.set_hosts(1, 2, 0);
+    dispatcher.runners.hold_off(at(0), "p-a", Duration::from_secs(3));
+    dispatcher.runners.hold_off(at(10), "p-a", Duration::from_secs(1));
+    let key = dispatcher.runners.find("p-a").expect("listed");
+    dispatcher.runners.record_success(key, 1.0);
+    let decisions = dispatcher.submit(at(20), submission(1, "best", "p"));
+    assert!(
+        matches!(&decisions[..], [Decision::Start(start)] if start.name == "p-b"),
+        "{decisions:?}"
+    );
+    assert!(!dispatcher.runners.get(key).is_available(at(2_999)));
+    assert!(dispatcher.runners.get(key).is_available(at(3_000)));
+    dispatcher.runners.hold_off(at(4_000), "p-a", Duration::MAX);
+    assert!(
+        dispatcher.runners.get(key).is_available(at(4_000 + 3_600_000)),
+        "an hour at most"
+    );
+}
+
 /// While the platform's list still shows the leaving runners of a zone, new calls go to another
 /// zone, also on a peer that has received the notice. Otherwise calls would be tried on one runner
 /// after another that refuses connections.
