--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 use crate::id::digest;
 use crate::time::Moment;
 
+mod attempt;
 pub mod brittle;
 pub mod clearance;
 mod cold;
@@ -19,6 +20,7 @@
 mod runner;
 pub mod software;
 mod stall;
+mod zones;
 
 pub use clearance::Clearance;
 use runner::Backoff;
@@ -38,21 +40,9 @@
 /// Time after an outage of the store during which a runner whose entry is missing is used: the
 /// time to be listed again, and a margin for reads that are a moment old.
 const RECOVERY: Duration = Duration::from_millis(2_300);
-/// Backoff after the first failure to reach a runner.
-const MIN_BACKOFF: Duration = Duration::from_millis(400);
-/// Maximum backoff; a runner that has recovered gets requests again within this time.
-const MAX_BACKOFF: Duration = Duration::from_secs(4);
-/// Number of unreachable runners in a zone from which the whole zone is avoided.
-const ZONE_FAILURES: usize = 2;
-/// Time for which a zone is avoided that seems cut off; short, as its runners are then tried
-/// again one by one.
-const ZONE_BACKOFF: Duration = Duration::from_millis(800);
 /// Silence after which the path to a runner is checked; even a loaded engine seldom needs longer
 /// for a first event.
 const PROBE_AFTER: Duration = Duration::from_millis(800);
-/// Backoff of a runner that refused a request because it was full.
-const FULL_BACKOFF: Duration = Duration::from_millis(150);
-
 /// All runners that were ever listed.
 #[derive(Debug)]
 pub struct Fleet {
@@ -350,58 +340,6 @@
         *slowdowns.select_nth_unstable_by(middle, f64::total_cmp).1
     }
 
-    /// Whether a zone is avoided because it seems cut off.
-    fn is_avoided(&self, now: Moment, zone: &str) -> bool {
-        self.avoided_zones
-            .iter()
-            .any(|(have, until)| have == zone && !now.reached(*until))
-    }
-
-    /// Records a packet from a host of a zone; the next one is due within `limit`.
-    pub fn record_zone_contact(&mut self, now: Moment, zone: &str, limit: Duration) {
-        let until = now + limit;
-        match self
-            .zone_deadlines
-            .binary_search_by(|(have, _)| have.as_str().cmp(zone))
-        {
-            Ok(at) => self.zone_deadlines[at].1 = until,
-            Err(at) => self.zone_deadlines.insert(at, (zone.to_string(), until)),
-        }
-    }
-
-    /// Whether the hosts of another zone have gone silent.
-    ///
-    /// A network cut gives no error: each request across it costs a connection timeout, and each
-    /// copy that a runner requests across it a fraction of a second. Silence of the zone's hosts
-    /// shows the cut sooner than either. It is only an indication, so it adds to a runner's cost
-    /// and does not exclude it.
-    pub fn is_zone_silent(&self, now: Moment, zone: &str) -> bool {
-        let found = self
-            .zone_deadlines
-            .binary_search_by(|(have, _)| have.as_str().cmp(zone));
-        zone != self.zone && found.is_ok_and(|at| now.reached(self.zone_deadlines[at].1))
-    }
-
-    /// Avoids the zone of a runner that could not be reached, if it is another zone and several of
-    /// its runners are backing off.
-    ///
-    /// When a zone is cut off, each of its runners would cost one request a connection timeout,
-    /// and a caller that hits four of them is refused. After the second runner, the whole zone is
-    /// avoided.
-    fn record_unreachable(&mut self, now: Moment, zone: &str) {
-        if zone == self.zone {
-            return;
-        }
-        let backing_off = self.arena.iter().filter(|runner| {
-            runner.listed.zone == zone && runner.is_listed(now) && !now.reached(runner.retry_at)
-        });
-        if backing_off.count() < ZONE_FAILURES {
-            return;
-        }
-        self.avoided_zones.retain(|(have, _)| have != zone);
-        self.avoided_zones.push((zone.to_string(), now + ZONE_BACKOFF));
-    }
-
     /// Sets the idle connection that would be used next.
     pub fn set_idle(&mut self, key: Key, idle: Option<Idle>) {
         if let Some(runner) = self.get_mut(key) {
@@ -487,107 +425,4 @@
             &*runner
         })
     }
-
-    /// Records the result of an attempt at a runner through a peer.
-    pub fn record_relayed_attempt(&mut self, now: Moment, key: Key, result: AttemptResult) {
-        let Some(runner) = self.get_mut(key) else {
-            return;
-        };
-        match result {
-            AttemptResult::Succeeded | AttemptResult::Failed => {
-                runner.relayed = Backoff::default();
-                runner.record_result(result == AttemptResult::Failed);
-            }
-            AttemptResult::Full => {
-                runner.relayed.retry_at = runner.relayed.retry_at.max(now + FULL_BACKOFF);
-                self.record_rejection(now, key);
-            }
-            AttemptResult::Replaced => runner.replaced = true,
-            AttemptResult::Unreachable => {
-                runner.belief.doubt_unreachable(now);
-                runner.relayed.extend(now);
-            }
-            AttemptResult::PathLost => {
-                runner.belief.doubt(now);
-                runner.path_lost_at = Some(now);
-                runner.relayed.extend(now);
-            }
-            AttemptResult::Broken => {
-                runner.belief.doubt(now);
-                runner.record_result(true);
-            }
-            AttemptResult::Silent => {
-                runner.record_result(true);
-                self.doubt_silent(now, key);
-            }
-        }
-    }
-
-    /// Records the result of an attempt at a runner.
-    ///
-    /// The list lags seconds behind a crash. Without the backoff, each request would try the dead
-    /// runner again.
-    pub fn record_attempt(&mut self, now: Moment, key: Key, result: AttemptResult) {
-        let Some(runner) = self.get_mut(key) else {
-            return;
-        };
-        let zone = runner.listed.zone.clone();
-        match result {
-            AttemptResult::Succeeded | AttemptResult::Failed => {
-                runner.failures = 0;
-                runner.record_result(result == AttemptResult::Failed);
-                self.avoided_zones.retain(|(have, _)| *have != zone);
-                self.confirm(now, key);
-            }
-            AttemptResult::Full => {
-                runner.retry_at = runner.retry_at.max(now + FULL_BACKOFF);
-                self.record_rejection(now, key);
-            }
-            AttemptResult::Replaced => runner.replaced = true,
-            AttemptResult::Unreachable | AttemptResult::PathLost => {
-                if result == AttemptResult::PathLost {
-                    runner.path_lost_at = Some(now);
-                }
-                runner.belief.doubt_unreachable(now);
-                runner.retry_at = now + backoff(runner.failures);
-                runner.failures = (runner.failures + 1).min(5);
-                self.doubt_unreachable(now, key);
-                self.record_unreachable(now, &zone);
-            }
-            AttemptResult::Broken => {
-                runner.belief.doubt(now);
-                runner.record_broken(now);
-            }
-            AttemptResult::Silent => {
-                runner.record_broken(now);
-                self.doubt_silent(now, key);
-            }
-        }
-    }
-}
-
-impl Runner {
-    /// Counts an answer that ended early.
-    fn record_broken(&mut self, now: Moment) {
-        self.record_result(true);
-        // On some days one answer in fifty is broken; only several in a row indicate a fault of the
-        // runner.
-        self.failures = (self.failures + 1).min(5);
-        if self.failures >= 3 {
-            self.retry_at = now + backoff(self.failures - 3);
-        }
-    }
-}
-
-/// Pause after this many failures in a row, not counting the last one.
-fn backoff(failures: u32) -> Duration {
-    (MIN_BACKOFF * 2u32.saturating_pow(failures)).min(MAX_BACKOFF)
-}
-
-impl Backoff {
-    /// Adds a failure.
-    fn extend(&mut self, now: Moment) {
-        self.retry_at = now + backoff(self.failures);
-        self.failures = (self.failures + 1).min(5);
-    }
 }
