Tell other hosts of a stream's version before its first event leaves

What callers saw: a stream whose host was killed right after its first event could not be taken up; it was refused as origin-unknown, not run, with a time to come back that does not help.

Cause: the first event and the datagrams to the other hosts left on their own, in either order. Change: the first event of a stream that may be resumed waits until the datagrams are handed over, 20 ms at most.

--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -131,6 +131,8 @@
     waiting: Mutex<Waiting>,
     /// Notified when other hosts have to be told or asked which versions began streams.
     origins_pending: Notify,
+    /// Rounds of sending such messages.
+    origin_rounds: origins::Rounds,
     /// Notified when another host has told such versions.
     origin_told: Notify,
     /// Notified when something is known of crashes that has not been looked at.
@@ -205,6 +207,7 @@
             slot_released: Notify::new(),
             waiting: Mutex::default(),
             origins_pending: Notify::new(),
+            origin_rounds: origins::Rounds::default(),
             origin_told: Notify::new(),
             crash_pending: Notify::new(),
             crash_unwritten: Notify::new(),
--- a/crates/entry/src/proxy/origins.rs
+++ b/crates/entry/src/proxy/origins.rs
@@ -1,6 +1,7 @@
 //! The software versions that began streams: told to other hosts, and asked of them.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use radishstair_core::error::{Kind, Refusal};
@@ -9,7 +10,8 @@
 use radishstair_core::proxy::route::Mode;
 use radishstair_core::time::Moment;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::Shared;
 use super::gossip::ORIGIN;
@@ -24,6 +26,45 @@
 /// Time after which the other hosts are asked again, as datagrams may be lost.
 const ASK_INTERVAL: Duration = Duration::from_millis(80);
 
+/// Longest time for which the first event of a stream waits until the other hosts are told of its version.
+const MAX_TELL_TIME: Duration = Duration::from_millis(20);
+
+/// Rounds of sending messages, each of which sends all that are pending.
+#[derive(Debug)]
+pub struct Rounds {
+    begun: AtomicU64,
+    ended: watch::Sender<u64>,
+}
+
+impl Default for Rounds {
+    fn default() -> Self {
+        Self {
+            begun: AtomicU64::new(0),
+            ended: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Rounds {
+    /// Begins a round; returns its number.
+    fn begin(&self) -> u64 {
+        self.begun.fetch_add(1, Ordering::SeqCst) + 1
+    }
+
+    /// Ends a round.
+    fn end(&self, round: u64) {
+        self.ended.send_replace(round);
+    }
+
+    /// Waits until the messages that are pending now were sent, for a short time at most.
+    async fn flush(&self) {
+        let next = self.begun.load(Ordering::SeqCst) + 1;
+        let mut ended = self.ended.subscribe();
+        // After that time the messages are most probably still sent before the host can end.
+        let _ = timeout(MAX_TELL_TIME, ended.wait_for(|round| *round >= next)).await;
+    }
+}
+
 /// How the version of a stream that a caller takes up was learnt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -53,6 +94,7 @@
 pub(super) async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
         shared.origins_pending.notified().await;
+        let round = shared.origin_rounds.begin();
         let (own, hosts) = (shared.own_host().address, shared.hosts());
         let messages = shared.state().origins.take_messages(own, &hosts);
         for (peer, message) in messages {
@@ -61,6 +103,7 @@
             let _ = socket.send_to(&bytes, peer).await;
             shared.metrics.count_datagrams(ORIGIN, "sent", 1, bytes.len());
         }
+        shared.origin_rounds.end(round);
     }
 }
 
@@ -83,8 +126,18 @@
     job.admission.route.mode == Mode::Stream { resumable: true }
 }
 
-/// Decides and publishes the version of a stream whose first event has come from this runner.
-pub(super) fn begin(shared: &Shared, job: &Job, slot: &Slot) -> Origin {
+/// Decides the version of a stream whose first event has come from this runner, and tells the other hosts before the
+/// caller gets the event: this host may be killed right after it.
+pub(super) async fn begin(shared: &Shared, job: &Job, slot: &Slot) -> Origin {
+    let origin = decide(shared, job, slot);
+    if origin != Origin::Unknown {
+        shared.origins_pending.notify_one();
+        shared.origin_rounds.flush().await;
+    }
+    origin
+}
+
+fn decide(shared: &Shared, job: &Job, slot: &Slot) -> Origin {
     if !is_resumable(job) {
         return Origin::Unknown;
     }
@@ -99,8 +152,6 @@
     state
         .origins
         .begin(now, stream_key(job, &job.metadata.id), version, life);
-    drop(state);
-    shared.origins_pending.notify_one();
     Origin::Version(version)
 }
 
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -173,7 +173,7 @@
         };
         self.record_start(&job, &mut segment);
         if log.origin == Origin::New && !events.ids.is_empty() {
-            log.origin = origins::begin(&self.shared, &job, &segment.response.slot);
+            log.origin = origins::begin(&self.shared, &job, &segment.response.slot).await;
         }
         let parts = segment.response.parts.clone();
         let end_log = EndLog {
