--- a/crates/core/src/proxy/fleet/holdoff.rs
+++ b/crates/core/src/proxy/fleet/holdoff.rs
@@ -15,6 +15,7 @@
 pub use peers::Report;
 
 use super::clearance::Clearance;
+use super::notice::Malformed;
 use super::{Fleet, Key, Runner};
 use crate::id::rendezvous_weight;
 use crate::time::Moment;
@@ -27,8 +28,6 @@
 /// Time over which the first requests of all hosts are spread: a part for each, and the maximum.
 const SPREAD_PER_HOST: Duration = Duration::from_millis(20);
 const MAX_SPREAD: Duration = Duration::from_secs(2);
-/// Minimum time between two log lines about what a runner asks for and cannot be read.
-const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
 
 plain! {
     /// What a rejection says about the time to wait.
@@ -77,8 +76,8 @@
         until: Option<Moment>,
         /// Earliest time of this host's next request.
         next_send: Moment,
-        /// When this host last had to say that it cannot read what the runner asks for.
-        malformed_at: Option<Moment>,
+        /// What the runner says and cannot be read.
+        malformed: Malformed,
     }
 }
 
@@ -91,7 +90,7 @@
         let length = match notice {
             Notice::Absent => return None,
             Notice::For(length) => length.min(MAX_HOLD_OFF),
-            Notice::Malformed => return self.record_malformed(now),
+            Notice::Malformed => return self.malformed.record(now).then_some(Change::Malformed),
         };
         let until = now + length;
         if length.is_zero() || self.until.is_some_and(|known| known.reached(until)) {
@@ -149,17 +148,6 @@
     pub(super) fn is_held(&self, now: Moment) -> bool {
         self.until.is_some_and(|until| !now.reached(until))
     }
-
-    fn record_malformed(&mut self, now: Moment) -> Option<Change> {
-        if self
-            .malformed_at
-            .is_some_and(|at| now.since(at) < MALFORMED_INTERVAL)
-        {
-            return None;
-        }
-        self.malformed_at = Some(now);
-        Some(Change::Malformed)
-    }
 }
 
 impl Runner {
--- a/crates/core/src/proxy/fleet/notice.rs
+++ b/crates/core/src/proxy/fleet/notice.rs
@@ -10,9 +10,14 @@
 //! | [leaving](super::leaving) | all | no host sends it new requests | the end of its process |
 //! | [hold-off](super::holdoff) | rejections | what this host sends to the runner | its latest end |
 
+use std::time::Duration;
+
 use super::{Fleet, Key, holdoff, rate};
 use crate::time::Moment;
 
+/// Minimum time between two log lines about one notice of a runner that cannot be read.
+const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
+
 plain! {
     /// Notices in the head of one answer.
     #[derive(Copy, Default)]
@@ -56,6 +61,23 @@
     }
 }
 
+plain! {
+    /// When this host last had to say that it cannot read a notice.
+    #[derive(Copy, Default)]
+    pub(super) struct Malformed(Option<Moment>);
+}
+
+impl Malformed {
+    /// Records a notice that cannot be read; returns whether to say so.
+    pub(super) fn record(&mut self, now: Moment) -> bool {
+        if self.0.is_some_and(|at| now.since(at) < MALFORMED_INTERVAL) {
+            return false;
+        }
+        self.0 = Some(now);
+        true
+    }
+}
+
 impl Fleet {
     /// Records the notices of an answer to a request that was sent at `sent`.
     pub fn record_notices(
--- a/crates/core/src/proxy/fleet/rate.rs
+++ b/crates/core/src/proxy/fleet/rate.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use super::clearance::Clearance;
+use super::notice::Malformed;
 use super::{Fleet, Key, Runner};
 use crate::id::rendezvous_weight;
 use crate::time::Moment;
@@ -43,8 +44,6 @@
 /// that got nothing could not say that its limit has ended; a higher one counts as none.
 const MIN_PER_S: f64 = 0.05;
 const MAX_PER_S: f64 = 1e6;
-/// Minimum time between two log lines about what a runner names and cannot be read.
-const MALFORMED_INTERVAL: Duration = Duration::from_secs(60);
 
 plain! {
     /// What an answer says about the rate that its runner takes.
@@ -111,8 +110,8 @@
         limited_at: Moment,
         /// When this host last chose the runner.
         sent_at: Option<Moment>,
-        /// When this host last had to say that it cannot read what the runner names.
-        malformed_at: Option<Moment>,
+        /// What the runner says and cannot be read.
+        malformed: Malformed,
     }
 }
 
@@ -121,9 +120,11 @@
     fn record(&mut self, now: Moment, notice: Notice) -> Option<Change> {
         let limit = match notice {
             Notice::Absent => None,
-            Notice::PerSecond(per_s) if per_s.is_nan() => return self.record_malformed(now),
+            Notice::PerSecond(per_s) if per_s.is_nan() => {
+                return self.malformed.record(now).then_some(Change::Malformed);
+            }
             Notice::PerSecond(per_s) => (per_s < MAX_PER_S).then_some(per_s.max(MIN_PER_S)),
-            Notice::Malformed => return self.record_malformed(now),
+            Notice::Malformed => return self.malformed.record(now).then_some(Change::Malformed),
         };
         if limit.is_none() && self.told_at.is_none() {
             return None;
@@ -193,17 +194,6 @@
         let is_kept = self.limit.is_some() && self.interval.is_some();
         self.is_own && is_recent || is_kept
     }
-
-    fn record_malformed(&mut self, now: Moment) -> Option<Change> {
-        if self
-            .malformed_at
-            .is_some_and(|at| now.since(at) < MALFORMED_INTERVAL)
-        {
-            return None;
-        }
-        self.malformed_at = Some(now);
-        Some(Change::Malformed)
-    }
 }
 
 /// Number of requests that all hosts together may send within a window, by the runner's limit.
