Tell hold-offs only where they were read, and let echoes prolong none

Found on reading the change again: each host that was told of a peer's hold-off told it on, and each report made its end a little later, so that hosts that relay for each other told it once a report.

Change: only the host that read the runner's answer, and the peer itself, tell it; a report that makes the end less than 0.1 s later changes nothing.

Evidence: a_hold_off_that_hosts_tell_each_other_ends_in_time, three hosts that relay, 5 ms a report: ends within 0.11 s of its time, two updates at most.

--- a/crates/core/src/proxy/fleet/holdoff/peers.rs
+++ b/crates/core/src/proxy/fleet/holdoff/peers.rs
@@ -10,6 +10,8 @@
 use super::Notice;
 use crate::time::Moment;
 
+/// Time by which the same hold-off may seem to end later, as reports take time.
+const ECHO_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of hold-offs in a report.
 const MAX_REPORTED: usize = 128;
 
@@ -26,11 +28,21 @@
     }
 }
 
+plain! {
+    /// Hold-off of another host.
+    #[derive(Copy)]
+    struct Held {
+        until: Moment,
+        /// Whether this host has read the runner's answer, and tells the others.
+        is_own: bool,
+    }
+}
+
 /// Hold-offs of other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    /// Hosts and runners, and until when the runner wants nothing from the host; sorted.
-    held: Vec<((u64, Key), Moment)>,
+    /// Hosts and runners; sorted.
+    held: Vec<((u64, Key), Held)>,
     /// Whether this host connects to runners for others.
     is_relaying: bool,
     /// Whether the others have yet to be told of the newest one.
@@ -38,12 +50,14 @@
 }
 
 impl Peers {
-    fn record(&mut self, now: Moment, host: u64, key: Key, until: Moment) -> bool {
-        self.held.retain(|(_, until)| !now.reached(*until));
+    /// Records a hold-off; returns whether it is new or ends later than known.
+    fn record(&mut self, now: Moment, host: u64, key: Key, held: Held) -> bool {
+        self.held.retain(|(_, known)| !now.reached(known.until));
+        let echo_time = if held.is_own { Duration::ZERO } else { ECHO_TIME };
         match self.held.binary_search_by_key(&(host, key), |(have, _)| *have) {
-            Ok(at) if self.held[at].1.reached(until) => return false,
-            Ok(at) => self.held[at].1 = until,
-            Err(at) => self.held.insert(at, ((host, key), until)),
+            Ok(at) if (self.held[at].1.until + echo_time).reached(held.until) => return false,
+            Ok(at) => self.held[at].1 = held,
+            Err(at) => self.held.insert(at, ((host, key), held)),
         }
         true
     }
@@ -53,7 +67,11 @@
     /// Records that a runner has asked a peer, which connected to it for this host, to wait.
     pub fn record_peer_hold_off(&mut self, now: Moment, key: Key, peer: u64, notice: Notice) {
         if let Notice::For(length) = notice {
-            self.peer_hold_offs.has_news |= self.peer_hold_offs.record(now, peer, key, now + length);
+            let held = Held {
+                until: now + length,
+                is_own: true,
+            };
+            self.peer_hold_offs.has_news |= self.peer_hold_offs.record(now, peer, key, held);
         }
     }
 
@@ -61,7 +79,7 @@
     pub fn is_peer_held_off(&self, now: Moment, key: Key, peer: u64) -> bool {
         let held = &self.peer_hold_offs.held;
         let found = held.binary_search_by_key(&(peer, key), |(have, _)| *have);
-        found.is_ok_and(|at| !now.reached(held[at].1))
+        found.is_ok_and(|at| !now.reached(held[at].1.until))
     }
 
     /// Records whether this host connects to runners for others.
@@ -83,18 +101,14 @@
     /// connects for others.
     pub fn hold_off_reports(&self, now: Moment) -> Vec<Report> {
         let runner_hash = |key: Key| self.get(key).map(|runner| runner.hash);
-        let of_peers = self
-            .peer_hold_offs
-            .held
-            .iter()
-            .filter_map(|((host, key), until)| {
-                let remaining = now.until(*until);
-                Some(Report {
-                    runner: runner_hash(*key)?,
-                    host: *host,
-                    remaining,
-                })
-            });
+        let told = self.peer_hold_offs.held.iter().filter(|(_, held)| held.is_own);
+        let of_peers = told.filter_map(|((host, key), held)| {
+            Some(Report {
+                runner: runner_hash(*key)?,
+                host: *host,
+                remaining: now.until(held.until),
+            })
+        });
         let own = self.arena.iter().map(|runner| Report {
             runner: runner.hash,
             host: self.own_host,
@@ -110,11 +124,17 @@
         let Some(key) = self.find_by_hash(report.runner) else {
             return;
         };
-        if report.host == self.own_host {
+        if report.host != self.own_host {
+            let held = Held {
+                until: now + report.remaining,
+                is_own: false,
+            };
+            self.peer_hold_offs.record(now, report.host, key, held);
+            return;
+        }
+        let known = self.get(key).map(|runner| runner.hold_off.remaining(now));
+        if known.is_none_or(|known| known + ECHO_TIME < report.remaining) {
             self.record_hold_off(now, key, Notice::For(report.remaining));
-        } else {
-            self.peer_hold_offs
-                .record(now, report.host, key, now + report.remaining);
         }
     }
 }
--- a/tests/suite/proxy/holdoff.rs
+++ b/tests/suite/proxy/holdoff.rs
@@ -396,3 +396,35 @@
             .is_held_off(at(5_020))
     );
 }
+
+/// Guards against reports of one hold-off that go round among hosts and prolong it.
+#[test]
+fn a_hold_off_that_hosts_tell_each_other_ends_in_time() {
+    const DELAY_MS: u64 = 5;
+    let mut hosts = hosts(3, 1);
+    let ids = {
+        let mut ids: Vec<u64> = (0..3usize).map(|host| digest(&host.to_le_bytes())).collect();
+        ids.sort_unstable();
+        ids
+    };
+    let key = hosts[0].fleet.find("r000").expect("listed");
+    hosts.iter_mut().for_each(|host| host.fleet.set_relaying(true));
+    hosts[0]
+        .fleet
+        .record_peer_hold_off(at(0), key, ids[1], Notice::For(millis(3_000)));
+    let mut updates = 0;
+    for ms in (0..4_000).step_by(200) {
+        for from in 0..3 {
+            let me = Incarnation(1 + from as u64);
+            let packet = hosts[from].packet(at(ms), me, 1 + ms);
+            updates += usize::from(hosts[from].update(at(ms), me, 1 + ms, 1).is_some());
+            for to in (0..3).filter(|to| *to != from) {
+                hosts[to].receive(at(ms + DELAY_MS), Incarnation(1 + to as u64), packet.clone());
+            }
+        }
+    }
+    assert!(updates <= 2, "{updates} updates");
+    assert!(hosts[1].fleet.get(key).expect("listed").is_held_off(at(2_900)));
+    assert!(!hosts[1].fleet.get(key).expect("listed").is_held_off(at(3_110)));
+    assert!(!hosts[2].fleet.is_peer_held_off(at(3_210), key, ids[1]));
+}
