Forget numbers of hosts that are older than the window of retries

Found on reading the change again: the numbers were dropped only when a retry was asked for, so that a host without retries kept two entries a second without a bound. They are dropped whenever one is recorded.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -487,6 +487,11 @@
         }
     }
 
+    /// Records the number of live hosts for the parts of the retry budget.
+    pub fn record_hosts(&mut self, now: Moment) {
+        self.budgets.record_hosts(now, &self.bounds, self.hosts);
+    }
+
     /// Takes one retry from the shared budget, if any is left.
     pub fn take_retry(&mut self, now: Moment, service: &str) -> bool {
         self.budgets.take(now, service, &self.bounds, self.hosts)
--- a/crates/core/src/proxy/budget.rs
+++ b/crates/core/src/proxy/budget.rs
@@ -50,15 +50,15 @@
         self.buckets.back_mut().expect("one was just added")
     }
 
-    fn expire(&mut self, now: Moment, window_s: u64) {
-        let oldest = (now.mono_us / BUCKET_US).saturating_sub(window_s * 1_000_000 / BUCKET_US);
+    fn expire(&mut self, now: Moment, bounds: &Bounds) {
+        let oldest = oldest_bucket(now, bounds);
         while self.buckets.front().is_some_and(|bucket| bucket.at < oldest) {
             self.buckets.pop_front();
         }
     }
 
     fn has_retry(&mut self, now: Moment, bounds: &Bounds, slack: f64) -> bool {
-        self.expire(now, bounds.repeat_window_s);
+        self.expire(now, bounds);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let allowed = USED_SHARE * (f64::from(requests) * bounds.repeat_ratio + slack);
@@ -76,8 +76,12 @@
 }
 
 impl Size {
-    fn record(&mut self, now: Moment, hosts: u32) {
+    fn record(&mut self, now: Moment, bounds: &Bounds, hosts: u32) {
         let at = now.mono_us / BUCKET_US;
+        let oldest = oldest_bucket(now, bounds);
+        while self.known.front().is_some_and(|(at, _)| *at < oldest) {
+            self.known.pop_front();
+        }
         self.first.get_or_insert(at);
         match self.known.back_mut() {
             Some((last, most)) if *last == at => *most = hosts.max(*most),
@@ -87,11 +91,8 @@
 
     /// This host's part of the slack, if it knows of this many hosts.
     fn part(&mut self, now: Moment, bounds: &Bounds, hosts: u32) -> f64 {
-        self.record(now, hosts);
-        let oldest = (now.mono_us / BUCKET_US).saturating_sub(bounds.repeat_window_s * 1_000_000 / BUCKET_US);
-        while self.known.front().is_some_and(|(at, _)| *at < oldest) {
-            self.known.pop_front();
-        }
+        self.record(now, bounds, hosts);
+        let oldest = oldest_bucket(now, bounds);
         let most = self.known.iter().map(|(_, hosts)| *hosts).max().unwrap_or(hosts);
         let share = match self.first.is_some_and(|first| first <= oldest) {
             true => 1.0,
@@ -101,6 +102,11 @@
     }
 }
 
+/// First bucket of the window that ends now.
+fn oldest_bucket(now: Moment, bounds: &Bounds) -> u64 {
+    (now.mono_us / BUCKET_US).saturating_sub(bounds.repeat_window_s * 1_000_000 / BUCKET_US)
+}
+
 /// Retry budgets by service.
 #[derive(Clone, Debug, Default)]
 pub struct Budgets {
@@ -110,8 +116,8 @@
 
 impl Budgets {
     /// Records the number of hosts that this host knows of.
-    pub fn record_hosts(&mut self, now: Moment, hosts: u32) {
-        self.size.record(now, hosts);
+    pub fn record_hosts(&mut self, now: Moment, bounds: &Bounds, hosts: u32) {
+        self.size.record(now, bounds, hosts);
     }
 
     /// Counts a caller's request to a service.
--- a/crates/entry/src/proxy/records.rs
+++ b/crates/entry/src/proxy/records.rs
@@ -155,8 +155,7 @@
         let live = state.ledger.runs(now).filter(|(_, alive)| *alive);
         let peers: Vec<SocketAddr> = live.filter_map(|(record, _)| record.peer.parse().ok()).collect();
         state.hosts = (peers.len() as u32).max(1);
-        let hosts = state.hosts;
-        state.budgets.record_hosts(now, hosts);
+        state.record_hosts(now);
         drop(state);
         self.shared.hosts_known.store(true, Ordering::Relaxed);
         if *self.shared.peers.load_full() != peers {
--- a/tests/suite/proxy/budget.rs
+++ b/tests/suite/proxy/budget.rs
@@ -144,7 +144,7 @@
         let mut fleet = Fleet::new(after);
         for host in 0..before {
             fleet.retry(0, host, 0, before);
-            fleet.hosts[host].record_hosts(at(0), before as u32);
+            fleet.hosts[host].record_hosts(at(0), &bounds(), before as u32);
         }
         for host in 0..before {
             fleet.retry(20_000, host, ALL, before);
@@ -169,7 +169,7 @@
 fn a_fleet_whose_hosts_start_again_stays_inside_the_shared_budget() {
     let mut fleet = Fleet::new(8);
     for host in 0..8 {
-        fleet.hosts[host].record_hosts(at(0), 8);
+        fleet.hosts[host].record_hosts(at(0), &bounds(), 8);
     }
     for host in 0..8 {
         fleet.retry(20_000, host, ALL, 8);
