Log and count the longest pause of each stream and its cause

A stream that stalls for longer than its route allows left no trace: the stream-ended line had the total time only, and whether the runner, a move or a continuation elsewhere had caused the pause was not to be seen.

proxy::pause records the longest time between two receipts of events and its cause (runner, move, break, none). Time in which the caller does not take what was received is left out, and comments end no pause. stream-ended has first_ms, pause_ms and pause_by; the metrics radishstair_longest_pause_seconds (by route) and radishstair_stalled_streams_total (by pause_by) follow from the same record. EndLog::record_continuation takes the cause.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -31,6 +31,7 @@
 pub mod origin;
 pub mod overload;
 pub mod partition;
+pub mod pause;
 pub mod placement;
 pub mod prefix;
 pub mod reach;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,10 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+mod pauses;
+
+pub use pauses::PauseMetrics;
+
 /// Labels of a finished request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -104,6 +108,8 @@
     pub tokens: Family<ClassLabel, Counter>,
     /// Streams that were resumed at another runner.
     pub resumed_streams: Family<ClassLabel, Counter>,
+    /// Pauses of streams.
+    pub pauses: PauseMetrics,
     /// Silences of streams that other runners may take over.
     pub silences: Family<SilenceLabel, Counter>,
     /// Requests that were kept from runners which have asked this host to wait.
@@ -174,6 +180,7 @@
             first_answer: Family::new_with_constructor(latency_histogram),
             tokens: Family::default(),
             resumed_streams: Family::default(),
+            pauses: PauseMetrics::default(),
             silences: Family::default(),
             withheld_requests: Family::default(),
             forwarded_calls: Counter::default(),
@@ -228,6 +235,7 @@
             "Streams resumed at another runner",
             self.resumed_streams.clone(),
         );
+        self.pauses.register(registry);
         registry.register(
             "silences",
             "Silences of streams by how they ended",
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -5,6 +5,7 @@
 //! runner only falls silent, the module `takeover` decides which runner goes on.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_stream::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -13,6 +14,7 @@
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::proxy::fleet::AttemptResult;
 use radishstair_core::proxy::origin::Origin;
+use radishstair_core::proxy::pause::{Cause, Pauses};
 use radishstair_core::retry::Fault;
 
 use super::events::Events;
@@ -36,24 +38,50 @@
     job: Arc<Job>,
     segments: u32,
     events: usize,
+    pauses: Pauses,
     outcome: &'static str,
     _flight: InFlightGuard,
 }
 
+impl EndLog {
+    /// Records events from a runner, before they are passed on.
+    fn record_received(&mut self, events: &Events) {
+        self.events += events.ids.len();
+        let now = self.forwarder.shared.now();
+        self.pauses.on_received(now, events.ids.len());
+    }
+
+    /// Records that the caller has taken what was passed on.
+    fn record_taken(&mut self) {
+        self.pauses.on_taken(self.forwarder.shared.now());
+    }
+
+    /// Records that the stream continues on another runner.
+    fn record_continuation(&mut self, cause: Cause) {
+        self.segments += 1;
+        self.pauses.on_continuation(cause);
+    }
+}
+
 impl Drop for EndLog {
     fn drop(&mut self) {
         let shared = &self.forwarder.shared;
         let now = shared.now();
-        let route = &self.job.admission.route.name;
-        shared.metrics.count_request(route, self.outcome);
+        let route = &self.job.admission.route;
+        shared.metrics.count_request(&route.name, self.outcome);
+        shared.metrics.pauses.observe(route, &self.pauses);
+        let as_ms = |duration: Duration| duration.as_millis() as u64;
         tracing::info!(
             event = "stream-ended",
             request = self.job.metadata.id,
-            route,
+            route = route.name,
             outcome = self.outcome,
             runs = self.segments,
             events = self.events,
-            after_ms = now.since(self.job.arrived).as_millis() as u64
+            first_ms = self.pauses.first().map(as_ms),
+            pause_ms = self.pauses.longest().map(as_ms),
+            pause_by = self.pauses.cause().name(),
+            after_ms = as_ms(now.since(self.job.arrived))
         );
     }
 }
@@ -178,6 +206,7 @@
         let parts = segment.response.parts.clone();
         let end_log = EndLog {
             forwarder: self.clone(),
+            pauses: Pauses::new(job.arrived),
             job,
             segments: 1,
             events: 0,
@@ -212,9 +241,10 @@
             let mut end_log = end_log;
             let job = end_log.job.clone();
             let mut segment = segment;
-            end_log.events += first.ids.len();
+            end_log.record_received(&first);
             if !first.bytes.is_empty() {
                 yield Ok(Frame::data(first.bytes));
+                end_log.record_taken();
             }
             segment.start_timing(self.shared.now());
             loop {
@@ -228,7 +258,7 @@
                             segment.abandon(&job, AttemptResult::Silent);
                             segment = *next;
                             record_resumption(&job, &mut segment);
-                            end_log.segments += 1;
+                            end_log.record_continuation(Cause::Break);
                             Progress::Events(events)
                         }
                     },
@@ -236,10 +266,11 @@
                 };
                 match progress {
                     Progress::Events(events) => {
-                        end_log.events += events.ids.len();
+                        end_log.record_received(&events);
                         segment.record_pause(self.shared.now(), &events);
                         if !events.bytes.is_empty() {
                             yield Ok(Frame::data(events.bytes));
+                            end_log.record_taken();
                         }
                     }
                     Progress::Complete => {
@@ -257,7 +288,7 @@
                                 return;
                             }
                         }
-                        end_log.segments += 1;
+                        end_log.record_continuation(Cause::Break);
                     }
                     Progress::TimedOut => {
                         end_log.outcome = "over";
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -23,6 +23,7 @@
 mod model;
 mod origin;
 mod overload;
+mod pause;
 mod placement;
 mod rate;
 mod reach;
