--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -40,6 +40,7 @@
 pub mod relay;
 pub mod report;
 pub mod route;
+pub mod run;
 pub mod scaling;
 pub mod services;
 pub mod start;
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -13,6 +13,7 @@
 pub mod brittle;
 pub mod clearance;
 mod cold;
+mod copies;
 pub mod holdoff;
 pub mod leaving;
 pub mod notice;
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -153,7 +153,7 @@
         pub running: u32,
         /// Prefill work that is not done yet, in microseconds.
         pub prefill_us: u64,
-        /// KV cache that the requests occupy when they end, in tokens.
+        /// KV cache that the requests occupy when they end and that copies of streams occupy, in tokens.
         pub kv_tokens: u64,
     }
 }
--- a/crates/core/src/proxy/gossip.rs
+++ b/crates/core/src/proxy/gossip.rs
@@ -229,7 +229,7 @@
 pub fn packet(me: Incarnation, sequence: u64, fleet: &Fleet, rates: Vec<PrefillRate>) -> Packet {
     let loads = fleet
         .runners()
-        .filter(|(_, runner)| runner.local_load.running > 0)
+        .filter(|(_, runner)| runner.local_load != fleet::Load::default())
         .map(|(_, runner)| Load::of(runner));
     Packet {
         incarnation: me.0,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -71,6 +71,22 @@
     pub outcome: &'static str,
 }
 
+/// Label of streams that are sent to runners of services with copies.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CopyLabel {
+    /// `requested`, or why there is none: `too-large` for the link, or `no-room` at another runner.
+    pub outcome: &'static str,
+}
+
+/// Labels of requests that continue from a KV cache.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ContinuationLabels {
+    /// What the KV cache comes from: `copy` or `move`.
+    pub from: &'static str,
+    /// `continued`, `refused` if the runner does not have it, or `failed`.
+    pub outcome: &'static str,
+}
+
 /// Label of requests that were kept from runners which have asked this host to wait.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct WithheldLabel {
@@ -106,6 +122,10 @@
     pub resumed_streams: Family<ClassLabel, Counter>,
     /// Silences of streams that other runners may take over.
     pub silences: Family<SilenceLabel, Counter>,
+    /// Copies of running streams.
+    pub copies: Family<CopyLabel, Counter>,
+    /// Requests that continue from a KV cache.
+    pub continuations: Family<ContinuationLabels, Counter>,
     /// Requests that were kept from runners which have asked this host to wait.
     pub withheld_requests: Family<WithheldLabel, Counter>,
     /// Calls forwarded to the owner of their key.
@@ -175,6 +195,8 @@
             tokens: Family::default(),
             resumed_streams: Family::default(),
             silences: Family::default(),
+            copies: Family::default(),
+            continuations: Family::default(),
             withheld_requests: Family::default(),
             forwarded_calls: Counter::default(),
             refused_connections: Counter::default(),
@@ -233,6 +255,12 @@
             "Silences of streams by how they ended",
             self.silences.clone(),
         );
+        registry.register("copies", "Copies of running streams by outcome", self.copies.clone());
+        registry.register(
+            "continuations",
+            "Requests that continue from a KV cache by outcome",
+            self.continuations.clone(),
+        );
         registry.register(
             "withheld_requests",
             "Requests kept from runners that have asked this host to wait",
@@ -442,6 +470,17 @@
             .inc();
     }
 
+    /// Counts a stream that is copied, or why it is not.
+    pub fn count_copy(&self, outcome: &'static str) {
+        self.copies.get_or_create(&CopyLabel { outcome }).inc();
+    }
+
+    /// Counts a request that continues from a KV cache.
+    pub fn count_continuation(&self, from: &'static str, outcome: &'static str) {
+        let labels = ContinuationLabels { from, outcome };
+        self.continuations.get_or_create(&labels).inc();
+    }
+
     /// Counts a silence of a stream.
     pub fn count_silence(&self, outcome: &'static str) {
         self.silences.get_or_create(&SilenceLabel { outcome }).inc();
--- a/crates/entry/src/proxy/acquire.rs
+++ b/crates/entry/src/proxy/acquire.rs
@@ -60,8 +60,7 @@
     ///
     /// The same.
     pub async fn acquire_slot(&self, job: &Job, log: &mut AttemptLog) -> Result<Slot, Refusal> {
-        self.hold_unproved(job, log).await;
-        self.hold_suspect(job).await;
+        self.hold_back(job, log).await;
         let admission = &job.admission;
         let goes_behind = || {
             self.shared
@@ -96,6 +95,12 @@
         }
     }
 
+    /// Holds a request back that may crash the next runner, while that is found out.
+    pub(super) async fn hold_back(&self, job: &Job, log: &AttemptLog) {
+        self.hold_unproved(job, log).await;
+        self.hold_suspect(job).await;
+    }
+
     /// Holds a request back that has broken off before, and that may crash the next runner as well: within this
     /// time its parts are found, if they are guilty. Requests whose parts were all answered lately do not wait.
     async fn hold_unproved(&self, job: &Job, log: &AttemptLog) {
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -37,6 +37,7 @@
 use super::job::{AttemptLog, Job};
 use super::reply::{retry_after, retry_after_wait};
 use super::slot::Slot;
+use super::stream::copies::Handle;
 use crate::upstream::attempts;
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, ResponseConnection};
@@ -181,6 +182,8 @@
             placed_at,
             sent_at: None,
             cache_source,
+            continue_from: None,
+            copy: None,
         })
     }
 
@@ -211,9 +214,14 @@
         // process may have been suspended, the runner may have started to drain.
         let now = self.shared.now();
         self.check_before_send(now, job, &slot, log)?;
+        slot.copy = self.place_copy(now, job, &slot);
         let request = self.build_request(now, job, after, &slot);
         slot.sent_at = Some(now);
-        log.history.record_send();
+        // A request that continues from its KV cache counts as the same run.
+        let is_new_run = slot.continue_from.is_none();
+        if is_new_run {
+            log.history.record_send();
+        }
         let relay = connection.relay();
         slot.relay = relay;
         let exchange = upstream::exchange(connection, slot.address, request);
@@ -231,7 +239,9 @@
         match result {
             Ok(Ok(exchange)) => self.check_response(job, slot, exchange).await,
             Ok(Err(Failure::NotSent)) => {
-                log.history.revert_send();
+                if is_new_run {
+                    log.history.revert_send();
+                }
                 Err(AttemptError::Failed(Fault::Unreachable))
             }
             Ok(Err(Failure::MaybeSent)) => {
@@ -323,7 +333,10 @@
                 StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
                 _ => (AttemptResult::Full, Fault::NotRun),
             };
-            slot.record_attempt(attempt);
+            // A runner that has no copy may have room for other requests.
+            if slot.continue_from.is_none() || attempt == AttemptResult::Replaced {
+                slot.record_attempt(attempt);
+            }
             tracing::info!(
                 event = "runner-refused",
                 request = job.metadata.id,
@@ -430,6 +443,8 @@
             customer: job.admission.customer.as_deref(),
             resume_after: after.or(job.metadata.last_event),
             cache_source: slot.cache_source,
+            copy_to: slot.copy.as_ref().map(|copy| copy.holder.address),
+            continue_from: slot.continue_from.as_ref().map(Handle::memory),
         };
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.parts.method.clone();
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -12,6 +12,7 @@
 
 use super::gossip::address_hash;
 use super::job::Job;
+use super::stream::copies::{Copied, Handle};
 use super::{Shared, notices, paths};
 
 /// A reservation on a runner; dropping it releases the runner's load.
@@ -42,6 +43,10 @@
     pub(super) sent_at: Option<Moment>,
     /// Address of a runner whose cache holds the beginning of the prompt.
     pub(super) cache_source: Option<SocketAddr>,
+    /// KV cache from which the request continues.
+    pub(super) continue_from: Option<Handle>,
+    /// Copy that the runner makes of the request's KV cache.
+    pub(super) copy: Option<Copied>,
 }
 
 impl Slot {
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -13,6 +13,7 @@
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::proxy::fleet::AttemptResult;
 use radishstair_core::proxy::origin::Origin;
+use radishstair_core::proxy::run::{Action, Run};
 use radishstair_core::retry::Fault;
 
 use super::events::Events;
@@ -24,6 +25,7 @@
 use crate::in_flight::InFlightGuard;
 use crate::upstream::attempts::{self, Attempts};
 
+pub(super) mod copies;
 mod segment;
 mod takeover;
 
@@ -217,9 +219,10 @@
                 yield Ok(Frame::data(first.bytes));
             }
             segment.start_timing(self.shared.now());
+            let mut run = Run::new(segment.holder());
             loop {
                 let progress = match segment.next(&job, &self.shared).await {
-                    Progress::Silent => match self.outlast_silence(&job, &mut segment, &mut log).await {
+                    Progress::Silent if !job.is_at_most_once() => match self.outlast_silence(&job, &mut segment, &mut log).await {
                         Outcome::First(progress) => {
                             segment.skip_pause();
                             progress
@@ -248,8 +251,17 @@
                         return;
                     }
                     progress @ (Progress::Broken | Progress::Silent) => {
-                        let last_event = segment.abandon(&job, progress.attempt_result());
-                        match self.resume(&job, last_event, &mut log).await {
+                        let next = match self.on_stop(&job, &mut run, &progress, &segment, &mut log) {
+                            Action::Wait => continue,
+                            Action::Continue { last_event, .. } => {
+                                self.continue_from_copy(&job, &mut run, segment, last_event, &mut log).await
+                            }
+                            Action::Resume | Action::End => {
+                                let last_event = segment.abandon(&job, progress.attempt_result());
+                                self.resume(&job, last_event, &mut log).await
+                            }
+                        };
+                        match next {
                             Some(next) => segment = next,
                             None => {
                                 end_log.outcome = "broken";
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -115,7 +115,8 @@
 
     /// Longest silence of a segment that another one may follow; `None` if none may.
     fn silence_limit(&self, job: &Job) -> Option<Duration> {
-        self.events.last_event.filter(|_| !job.is_at_most_once())?;
+        let may_follow = !job.is_at_most_once() || self.response.slot.copy.is_some();
+        self.events.last_event.filter(|_| may_follow)?;
         let gap = job.admission.route.max_event_gap?;
         Some((gap * SILENCE_GAP_MULTIPLE).max(MIN_SILENCE))
     }
--- a/crates/entry/src/proxy/stream/takeover.rs
+++ b/crates/entry/src/proxy/stream/takeover.rs
@@ -254,7 +254,8 @@
     }
 }
 
-fn record_silence(job: &Job, slot: &Slot, log: &mut AttemptLog, last_event: Option<u64>) {
+/// Records that the runner of a stream has fallen silent.
+pub(super) fn record_silence(job: &Job, slot: &Slot, log: &mut AttemptLog, last_event: Option<u64>) {
     let now = slot.shared.now();
     log.history.record_run();
     slot.record_attempt(AttemptResult::Silent);
