Interfaces for copies and moves of running streams

Copying and moving a stream needs values from the operator's document, the runners' entries and the hosts' settings, and calls to runners. The engine's fields, the time left of a reclaimed runner, the two headers, the move and release calls and the settings are parsed and written; nothing uses them yet.

Measured: the workspace compiles with all targets, and scripts/check-words passes. No test was run.

--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -54,6 +54,9 @@
         pub version: u64,
         /// How long it stays cold after the entry was written; zero if it is warm.
         pub cold_for: Duration,
+        /// Time left when the entry was written until the runner is reclaimed; `None` if it is not
+        /// being reclaimed.
+        pub leaves_after: Option<Duration>,
     }
 }
 
--- a/crates/core/src/proxy/route.rs
+++ b/crates/core/src/proxy/route.rs
@@ -102,6 +102,16 @@
         pub kv_tokens: u64,
         /// Whether it can copy cached prefixes from another runner.
         pub copies_prefix: bool,
+        /// Size of the KV cache of one token, in bytes; 0 if unknown.
+        pub token_bytes: f64,
+        /// Bandwidth of its link to other engines, in Mbit/s; 0 if there is no such link.
+        pub link_mbps: f64,
+        /// Whether a running request can move to another engine with its KV cache.
+        pub offers_moves: bool,
+        /// Whether it sends the KV cache of a running request to another engine as it grows.
+        pub offers_copies: bool,
+        /// How long a moved or copied KV cache is kept until it is used.
+        pub handle_time: Duration,
     }
 }
 
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -61,6 +61,42 @@
     pub resume_after: Option<u64>,
     /// Address of a runner from whose cache the beginning of the prompt is copied.
     pub cache_source: Option<SocketAddr>,
+    /// Address of a runner to which the run's KV cache is copied as it grows.
+    pub copy_to: Option<SocketAddr>,
+    /// KV cache from which the run continues.
+    pub continue_from: Option<Memory<'a>>,
+}
+
+/// KV cache of a run that continues at another runner, or again at its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Memory<'a> {
+    /// For a copy made as the run went on, the runner that holds it; for a move, the move's source.
+    pub address: SocketAddr,
+    /// For a copy, the run's request id; for a move, the handle that the source returned.
+    pub handle: &'a str,
+}
+
+/// Answer of a runner to the request to copy the KV cache of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MoveAnswer {
+    /// The copy is complete.
+    Copied {
+        /// Names the copy in the request that continues from it.
+        handle: String,
+        /// Number of events that the run has generated.
+        events: u64,
+    },
+    /// The runner has no such run.
+    NoRun,
+    /// A call for this run is in progress.
+    Busy,
+    /// The destination has no room or cannot be reached.
+    Refused {
+        /// Names the KV cache that the source keeps, if the run has stopped.
+        handle: Option<String>,
+    },
+    /// The answer is not one that the platform describes.
+    Malformed,
 }
 
 /// Provenance of a runner's response, parsed from its headers.
@@ -128,6 +164,17 @@
     /// Parses the store's response to a call.
     fn parse_store_response(&self, call: &Call, status: StatusCode, body: &[u8]) -> StoreResponse;
 
+    /// HTTP request to a runner to copy the KV cache of the run with this request id to `target`;
+    /// with `stop`, the run stops first.
+    fn move_request(&self, run: &str, target: SocketAddr, stop: bool) -> Request<Bytes>;
+
+    /// Parses a runner's answer to a [`Self::move_request`].
+    fn parse_move_response(&self, status: StatusCode, body: &[u8]) -> MoveAnswer;
+
+    /// HTTP request to the source of a move to free the copy at both ends. The handle is one that
+    /// [`Self::parse_move_response`] returned.
+    fn release_request(&self, handle: &str) -> Request<Bytes>;
+
     /// HTTP request that reports usage under a fencing number.
     fn usage_request(&self, host: &str, fence: u64, window: &Window) -> Request<Bytes>;
 
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -430,6 +430,8 @@
             customer: job.admission.customer.as_deref(),
             resume_after: after.or(job.metadata.last_event),
             cache_source: slot.cache_source,
+            copy_to: None,
+            continue_from: None,
         };
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.parts.method.clone();
--- a/crates/entry/src/proxy/settings.rs
+++ b/crates/entry/src/proxy/settings.rs
@@ -44,6 +44,19 @@
     /// connections to runners.
     #[serde(default = "default_connections")]
     pub connections: usize,
+    /// What is done with running streams.
+    #[serde(default)]
+    pub streams: Streams,
+}
+
+/// What is done with the KV caches of running streams, where the engines offer it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Streams {
+    /// Whether streams that cannot be resumed have a copy at another runner.
+    pub copies: bool,
+    /// Whether streams move away from runners that are leaving.
+    pub moves: bool,
 }
 
 /// Duties that one host at a time performs.
--- a/tests/suite/proxy/fixtures.rs
+++ b/tests/suite/proxy/fixtures.rs
@@ -56,6 +56,11 @@
             slots,
             kv_tokens: 480_000,
             copies_prefix: true,
+            token_bytes: 0.0,
+            link_mbps: 0.0,
+            offers_moves: false,
+            offers_copies: false,
+            handle_time: Duration::ZERO,
         }),
         cold_start: None,
         scaling: None,
@@ -103,6 +108,7 @@
         software: Software::new(service, "v1"),
         version: 1,
         cold_for: Duration::ZERO,
+        leaves_after: None,
     }
 }
 
