--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -254,7 +254,7 @@
                         let next = match self.on_stop(&job, &mut run, &progress, &segment, &mut log) {
                             Action::Wait => continue,
                             Action::Continue { last_event, .. } => {
-                                self.continue_from_copy(&job, &mut run, segment, last_event, &mut log).await
+                                self.continue_from_copy(&job, &mut run, segment, last_event, &progress, &mut log).await
                             }
                             Action::Resume | Action::End => {
                                 let last_event = segment.abandon(&job, progress.attempt_result());
