--- a/crates/core/src/proxy/fleet/copies.rs
+++ b/crates/core/src/proxy/fleet/copies.rs
@@ -1,7 +1,7 @@
 //! Copies of running streams that this host has had made.
 
-use super::{Fleet, Key, Way};
 use super::software::Version;
+use super::{Fleet, Key, Way};
 use crate::time::Moment;
 
 impl Fleet {
@@ -23,6 +23,8 @@
     pub fn may_continue_at(&self, now: Moment, key: Key, service: &str, version: Version, way: Way) -> bool {
         let found = self.available(now, service, way).find(|(have, _)| *have == key);
         let cleared = self.cleared(now, found.into_iter().collect());
-        cleared.first().is_some_and(|(_, runner)| runner.may_continue(now, version))
+        cleared
+            .first()
+            .is_some_and(|(_, runner)| runner.may_continue(now, version))
     }
 }
--- a/crates/core/src/proxy/run/copy.rs
+++ b/crates/core/src/proxy/run/copy.rs
@@ -84,7 +84,12 @@
     /// # Errors
     ///
     /// Why the stream is not copied.
-    pub fn place_copy(&mut self, now: Moment, admission: &Admission, stream: &Stream) -> Result<Holder, Denial> {
+    pub fn place_copy(
+        &mut self,
+        now: Moment,
+        admission: &Admission,
+        stream: &Stream,
+    ) -> Result<Holder, Denial> {
         if admission.route.mode != (Mode::Stream { resumable: false }) {
             return Err(Denial::NotOffered);
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -255,7 +255,11 @@
             "Silences of streams by how they ended",
             self.silences.clone(),
         );
-        registry.register("copies", "Copies of running streams by outcome", self.copies.clone());
+        registry.register(
+            "copies",
+            "Copies of running streams by outcome",
+            self.copies.clone(),
+        );
         registry.register(
             "continuations",
             "Requests that continue from a KV cache by outcome",
--- a/crates/entry/src/proxy/stream/copies.rs
+++ b/crates/entry/src/proxy/stream/copies.rs
@@ -148,7 +148,11 @@
         drop(state);
         log.has_paid |= may_continue;
         if !may_continue {
-            let reason = if is_allowed { "budget-spent" } else { "holder-unavailable" };
+            let reason = if is_allowed {
+                "budget-spent"
+            } else {
+                "holder-unavailable"
+            };
             tracing::info!(event = "not-continued", request = job.metadata.id, reason);
         }
         may_continue
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -29,6 +29,7 @@
 mod readers;
 mod refresh;
 mod relay;
+mod run;
 mod schedule;
 mod software;
 mod start;
