--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -54,6 +54,9 @@
         pub version: u64,
         /// How long it stays cold after the entry was written; zero if it is warm.
         pub cold_for: Duration,
+        /// Time left when the entry was written until the runner is reclaimed; `None` if it is not
+        /// being reclaimed.
+        pub leaves_after: Option<Duration>,
     }
 }
 
@@ -153,7 +156,7 @@
         pub running: u32,
         /// Prefill work that is not done yet, in microseconds.
         pub prefill_us: u64,
-        /// KV cache that the requests occupy when they end, in tokens.
+        /// KV cache that the requests occupy when they end and that copies of streams occupy, in tokens.
         pub kv_tokens: u64,
     }
 }
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -31,6 +31,7 @@
 mod readers;
 mod refresh;
 mod relay;
+mod run;
 mod schedule;
 mod software;
 mod start;
