--- a/crates/core/src/proxy/run.rs
+++ b/crates/core/src/proxy/run.rs
@@ -22,7 +22,9 @@
         Copied(Key),
         /// The request was sent to the runner that holds the copy.
         Continuing(Key),
-        /// The stream has ended, or is resumed with a new prefill.
+        /// No runner sends events; the stream goes on if another one resumes it with a new prefill.
+        Resuming,
+        /// The stream has ended.
         Ended,
     }
 }
@@ -66,6 +68,8 @@
         },
         /// The runner that holds the copy was sent the request and has responded.
         Answered(Answer),
+        /// Another runner has resumed the stream with a new prefill; its run has this copy.
+        Resumed(Option<Key>),
         /// The deadline has passed, or the caller has left.
         Over,
         /// The runner has sent the complete end of the stream.
@@ -121,7 +125,11 @@
     pub fn holder(&self) -> Option<Key> {
         match self.state {
             State::Copied(holder) if self.continuations < MAX_CONTINUATIONS => Some(holder),
-            State::Begun | State::Copied(_) | State::Continuing(_) | State::Ended => None,
+            State::Begun
+            | State::Copied(_)
+            | State::Continuing(_)
+            | State::Resuming
+            | State::Ended => None,
         }
     }
 
@@ -134,6 +142,12 @@
                 may_continue,
             } => self.on_stop(stop, last_event, may_continue),
             Event::Answered(answer) => self.on_answer(answer),
+            Event::Resumed(holder) => {
+                if self.state == State::Resuming {
+                    self.state = copied(holder);
+                }
+                Action::Wait
+            }
             Event::Over | Event::Complete => {
                 self.state = State::Ended;
                 Action::End
@@ -143,7 +157,7 @@
 
     fn on_stop(&mut self, stop: Stop, last_event: Option<u64>, may_continue: bool) -> Action {
         if !matches!(self.state, State::Begun | State::Copied(_)) {
-            return Action::Wait;
+            return Action::End;
         }
         match (self.holder().filter(|_| may_continue), last_event, stop) {
             (Some(holder), Some(last_event), _) => {
@@ -154,7 +168,7 @@
             // The runner may go on, so its connection stays open.
             (_, _, Stop::Silent) => Action::Wait,
             (_, _, Stop::Broken) => {
-                self.state = State::Ended;
+                self.state = State::Resuming;
                 Action::Resume
             }
         }
@@ -170,7 +184,7 @@
                 Action::Wait
             }
             Answer::Refused | Answer::Failed => {
-                self.state = State::Ended;
+                self.state = State::Resuming;
                 Action::Resume
             }
         }
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -258,7 +258,7 @@
                             }
                             Action::Resume | Action::End => {
                                 let last_event = segment.abandon(&job, progress.attempt_result());
-                                self.resume(&job, last_event, &mut log).await
+                                self.resume_run(&job, &mut run, last_event, &mut log).await
                             }
                         };
                         match next {
--- a/crates/entry/src/proxy/stream/copies.rs
+++ b/crates/entry/src/proxy/stream/copies.rs
@@ -188,10 +188,26 @@
         run.on_event(Event::Answered(answer));
         match continued {
             Ok(next) => Some(next),
-            Err(_) => self.resume(job, Some(last_event), log).await,
+            Err(_) => self.resume_run(job, run, Some(last_event), log).await,
         }
     }
 
+    /// Resumes a stream with a new prefill; `None` if it cannot be resumed.
+    pub(super) async fn resume_run(
+        &self,
+        job: &Job,
+        run: &mut Run,
+        last_event: Option<u64>,
+        log: &mut AttemptLog,
+    ) -> Option<Segment> {
+        let next = self.resume(job, last_event, log).await;
+        run.on_event(match &next {
+            Some(next) => Event::Resumed(next.holder()),
+            None => Event::Over,
+        });
+        next
+    }
+
     /// Sends the request to the runner that holds the copy.
     async fn continue_at(
         &self,
