--- a/crates/entry/src/proxy/origins.rs
+++ b/crates/entry/src/proxy/origins.rs
@@ -130,7 +130,7 @@
 /// caller gets the event: this host may be killed right after it.
 pub(super) async fn begin(shared: &Shared, job: &Job, slot: &Slot) -> Origin {
     let origin = decide(shared, job, slot);
-    if origin != Origin::Unknown {
+    if origin != Origin::Unknown && is_resumable(job) {
         shared.origins_pending.notify_one();
         shared.origin_rounds.flush().await;
     }
@@ -138,9 +138,6 @@
 }
 
 fn decide(shared: &Shared, job: &Job, slot: &Slot) -> Origin {
-    if !is_resumable(job) {
-        return Origin::Unknown;
-    }
     let now = shared.now();
     let mut state = shared.state();
     let runner = state.fleet.get(slot.key);
@@ -148,6 +145,9 @@
     let Some(version) = version.filter(|version| *version == slot.software.version) else {
         return Origin::Unknown;
     };
+    if !is_resumable(job) {
+        return Origin::Version(version);
+    }
     let life = origin::life(job.admission.route.timeout);
     state
         .origins
