--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -13,7 +13,7 @@
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::proxy::fleet::AttemptResult;
 use radishstair_core::proxy::origin::Origin;
-use radishstair_core::proxy::run::{Action, Run, State};
+use radishstair_core::proxy::run::{Action, Run};
 use radishstair_core::retry::Fault;
 
 use super::events::Events;
@@ -262,13 +262,7 @@
                             }
                         };
                         match next {
-                            Some(next) => {
-                                segment = next;
-                                // A new prefill begins a new run.
-                                if run.state() == State::Ended {
-                                    run = Run::new(segment.holder());
-                                }
-                            }
+                            Some(next) => segment = next,
                             None => {
                                 end_log.outcome = "broken";
                                 yield Err(Truncated);
