A reduced target limits the queue of a request, not the length of its prompt

Cause: a less urgent request has to begin within three quarters of the target of the level above it, its own prefill included.

Change: with capacity for bursts, the reduced target holds for the queue alone, and the route's own target for queue and prefill. A less urgent request still joins a shorter queue than a more urgent one.

Tests: proxy::overload, capacity, run, pause: 44 passed.

--- a/crates/core/src/proxy/overload.rs
+++ b/crates/core/src/proxy/overload.rs
@@ -10,6 +10,10 @@
 //! are refused. The most urgent requests of a service are not refused at all, as they overtake
 //! queued work on the engines. A runner with little queued work gets every request, so that a wrong
 //! estimate cannot refuse all callers.
+//!
+//! A prompt that takes half of the reduced target to prefill would then be refused at nearly any queue.
+//! With standby capacity for bursts, the reduced target therefore limits the queue alone, and only the
+//! request's own target has to hold its prefill as well.
 
 use std::time::Duration;
 
@@ -64,6 +68,9 @@
     pub struct Patience {
         /// Time from its arrival within which the first event is in time.
         pub target: Duration,
+        /// Target of its route, which has to hold its own prefill, if `target` limits the queue alone;
+        /// `None` if `target` has to hold both.
+        pub own_target: Option<Duration>,
         /// Time since its arrival.
         pub waited: Duration,
         /// Whether it may be refused.
@@ -75,7 +82,11 @@
     /// Whether the request is expected to be in time at a runner on which the work ahead of it
     /// takes `queued`, and its own prefill `prefill`.
     pub fn suffices(&self, queued: Duration, prefill: Duration) -> bool {
-        let left = self.target.mul_f64(IN_TIME).saturating_sub(self.waited + prefill);
+        let left = |target: Duration, needed| target.mul_f64(IN_TIME).saturating_sub(self.waited + needed);
+        let left = match self.own_target {
+            None => left(self.target, prefill),
+            Some(own_target) => left(own_target, prefill).min(left(self.target, Duration::ZERO)),
+        };
         queued <= left.max(self.target.mul_f64(SHORT_QUEUE))
     }
 }
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -87,7 +87,12 @@
         }
         // Neither a request that may have run nor a stream that has begun is refused for being late.
         let has_begun = log.history.may_have_run() || log.origin != Origin::New;
-        let patience = if has_begun { None } else { job.patience(now) };
+        let capacity = self.shared.settings.load().capacity.policy();
+        let patience = if has_begun {
+            None
+        } else {
+            job.patience(now, capacity)
+        };
         let service = &job.admission.service;
         let mut demand = job.demand(log, self.way(now, service), rand::random());
         let placement = {
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -6,6 +6,7 @@
 use hyper::header::HOST;
 use hyper::http::request;
 use radishstair_core::id::digest_fields;
+use radishstair_core::proxy::capacity::Policy;
 use radishstair_core::proxy::crash::{self, Suspect};
 use radishstair_core::proxy::fleet::{Key, Way};
 use radishstair_core::proxy::origin::Origin;
@@ -70,11 +71,12 @@
 
     /// How long a stream may wait for its first event; `None` if it is no stream or its route has
     /// no target.
-    pub fn patience(&self, now: Moment) -> Option<Patience> {
+    pub fn patience(&self, now: Moment, capacity: Policy) -> Option<Patience> {
         let level = self.admission.level.filter(|_| self.is_stream())?;
         let own_target = self.admission.route.target_latency?;
         Some(Patience {
             target: level.target.map_or(own_target, |target| target.min(own_target)),
+            own_target: (capacity == Policy::Bursts).then_some(own_target),
             waited: now.since(self.arrived),
             is_refusable: level.is_refusable,
         })
--- a/tests/suite/proxy/overload.rs
+++ b/tests/suite/proxy/overload.rs
@@ -142,6 +142,7 @@
 fn a_short_queue_gets_every_request() {
     let patience = Patience {
         target: Duration::from_millis(400),
+        own_target: None,
         waited: Duration::from_millis(390),
         is_refusable: true,
     };
@@ -150,6 +151,39 @@
     assert!(!patience.suffices(Duration::from_millis(101), too_long));
 }
 
+/// Longest queue in milliseconds that a request may join, at a level with this target.
+fn longest_queue(target_ms: u64, own_target_ms: Option<u64>, prefill_ms: u64) -> u64 {
+    let patience = Patience {
+        target: Duration::from_millis(target_ms),
+        own_target: own_target_ms.map(Duration::from_millis),
+        waited: Duration::ZERO,
+        is_refusable: true,
+    };
+    let suffices = |queued_ms| {
+        patience.suffices(
+            Duration::from_millis(queued_ms),
+            Duration::from_millis(prefill_ms),
+        )
+    };
+    (0..10_000)
+        .take_while(|queued_ms| suffices(*queued_ms))
+        .last()
+        .unwrap_or_default()
+}
+
+/// Guards against refusing long prompts with a long target at nearly any queue, as their own prefill
+/// takes half of the target that their level is reduced to; and against a queue for them that is
+/// longer than that for more urgent requests, or in which they would be late.
+#[test]
+fn a_reduced_target_limits_the_queue_and_not_the_prompt() {
+    let (summary_ms, dispute_ms) = (30, 196);
+    assert_eq!(longest_queue(375, None, dispute_ms), 93);
+    let dispute = longest_queue(375, Some(2_500), dispute_ms);
+    assert!((270..=281).contains(&dispute), "{dispute}");
+    assert!(dispute < longest_queue(500, Some(500), summary_ms));
+    assert!(longest_queue(375, Some(400), dispute_ms) <= 300 - dispute_ms);
+}
+
 /// Levels of the stream routes with these priorities and targets in milliseconds.
 fn levels(routes: &[(u8, u64)]) -> Vec<(bool, Option<u64>)> {
     let routes = routes
@@ -419,6 +453,7 @@
 fn a_runner_in_time_goes_before_a_cheaper_one_that_is_late() {
     let patience = Patience {
         target: Duration::from_millis(300),
+        own_target: None,
         waited: Duration::ZERO,
         is_refusable: true,
     };
--- a/tests/suite/proxy/zone.rs
+++ b/tests/suite/proxy/zone.rs
@@ -262,6 +262,7 @@
         };
         let patience = Patience {
             target: Duration::from_millis(self.zone.target_ms),
+            own_target: None,
             waited: Duration::ZERO,
             is_refusable: !is_urgent,
         };
