--- a/crates/entry/src/proxy/stream/copies.rs
+++ b/crates/entry/src/proxy/stream/copies.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use radishstair_core::id::digest;
-use radishstair_core::proxy::fleet::Way;
+use radishstair_core::proxy::fleet::Key;
 use radishstair_core::proxy::latency::Conditions;
 use radishstair_core::proxy::run::copy::{self, Denial, Holder};
 use radishstair_core::proxy::run::{Action, Answer, Event, Run, Stop};
@@ -60,7 +60,7 @@
 
 impl Segment {
     /// Runner that holds the copy of this run.
-    pub(super) fn holder(&self) -> Option<radishstair_core::proxy::fleet::Key> {
+    pub(super) fn holder(&self) -> Option<Key> {
         self.response.slot.copy.as_ref().map(|copy| copy.holder.key)
     }
 }
@@ -133,7 +133,15 @@
 
     /// Whether the runner that holds the copy may be sent the request; takes a retry from the budget then.
     fn may_continue(&self, job: &Job, run: &Run, log: &mut AttemptLog) -> bool {
-        let (Some(holder), Some(version)) = (run.holder(), log.origin.version()) else {
+        let Some(holder) = run.holder() else {
+            return false;
+        };
+        let Some(version) = log.origin.version() else {
+            tracing::info!(
+                event = "not-continued",
+                request = job.metadata.id,
+                reason = "version-unknown"
+            );
             return false;
         };
         let now = self.shared.now();
@@ -255,7 +263,7 @@
     fn slot_at_holder(&self, job: &Job, copy: Copied, log: &AttemptLog) -> Option<Slot> {
         let now = self.shared.now();
         let service = &job.admission.service;
-        let way: Way = self.way(now, service);
+        let way = self.way(now, service);
         let Holder { key, kv_tokens, .. } = copy.holder;
         let version = log.origin.version()?;
         let mut state = self.shared.state();
