--- a/crates/core/src/proxy/run.rs
+++ b/crates/core/src/proxy/run.rs
@@ -125,11 +125,7 @@
     pub fn holder(&self) -> Option<Key> {
         match self.state {
             State::Copied(holder) if self.continuations < MAX_CONTINUATIONS => Some(holder),
-            State::Begun
-            | State::Copied(_)
-            | State::Continuing(_)
-            | State::Resuming
-            | State::Ended => None,
+            State::Begun | State::Copied(_) | State::Continuing(_) | State::Resuming | State::Ended => None,
         }
     }
 
