--- a/crates/entry/src/proxy/origins.rs
+++ b/crates/entry/src/proxy/origins.rs
@@ -145,13 +145,13 @@
     let Some(version) = version.filter(|version| *version == slot.software.version) else {
         return Origin::Unknown;
     };
-    if !is_resumable(job) {
-        return Origin::Version(version);
+    // No other host takes up a stream that cannot be resumed; this one may continue it from its KV cache.
+    if is_resumable(job) {
+        let life = origin::life(job.admission.route.timeout);
+        state
+            .origins
+            .begin(now, stream_key(job, &job.metadata.id), version, life);
     }
-    let life = origin::life(job.admission.route.timeout);
-    state
-        .origins
-        .begin(now, stream_key(job, &job.metadata.id), version, life);
     Origin::Version(version)
 }
 
