Moves of running streams are listed as not built

The setting has no effect and is off in the deployment; the pages for operators describe copies alone.

--- a/crates/entry/src/proxy/settings.rs
+++ b/crates/entry/src/proxy/settings.rs
@@ -59,7 +59,7 @@
 pub struct Streams {
     /// Whether streams that cannot be resumed have a copy at another runner.
     pub copies: bool,
-    /// Whether streams move away from runners that are leaving.
+    /// Reserved: whether streams move away from runners that are leaving. No effect yet.
     pub moves: bool,
 }
 
