Streams that find no room for a copy are logged

The decision not to copy a stream for lack of room was only counted. The metrics of copies and continuations move to a file of their own, as the file of all metrics had become too long.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,10 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+mod streams;
+
+use streams::{ContinuationLabels, CopyLabel};
+
 /// Labels of a finished request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -71,22 +75,6 @@
     pub outcome: &'static str,
 }
 
-/// Label of streams that are sent to runners of services with copies.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct CopyLabel {
-    /// `requested`, or why there is none: `too-large` for the link, or `no-room` at another runner.
-    pub outcome: &'static str,
-}
-
-/// Labels of requests that continue from a KV cache.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ContinuationLabels {
-    /// What the KV cache comes from: `copy` or `move`.
-    pub from: &'static str,
-    /// `continued`, `refused` if the runner does not have it, or `failed`.
-    pub outcome: &'static str,
-}
-
 /// Label of requests that were kept from runners which have asked this host to wait.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct WithheldLabel {
@@ -474,17 +462,6 @@
             .inc();
     }
 
-    /// Counts a stream that is copied, or why it is not.
-    pub fn count_copy(&self, outcome: &'static str) {
-        self.copies.get_or_create(&CopyLabel { outcome }).inc();
-    }
-
-    /// Counts a request that continues from a KV cache.
-    pub fn count_continuation(&self, from: &'static str, outcome: &'static str) {
-        let labels = ContinuationLabels { from, outcome };
-        self.continuations.get_or_create(&labels).inc();
-    }
-
     /// Counts a silence of a stream.
     pub fn count_silence(&self, outcome: &'static str) {
         self.silences.get_or_create(&SilenceLabel { outcome }).inc();
--- a/crates/entry/src/proxy/stream/copies.rs
+++ b/crates/entry/src/proxy/stream/copies.rs
@@ -103,6 +103,12 @@
             }
             Err(Denial::NoRoom) => {
                 self.shared.metrics.count_copy("no-room");
+                tracing::info!(
+                    event = "stream-not-copied",
+                    request = job.metadata.id,
+                    runner = slot.id,
+                    reason = "no-room"
+                );
                 None
             }
         }
