Report crashes at once while no collector hears a host

A host writes a crash to the store only after 0.4 s without a confirmation of a collector. It waited so for each crash, also when it already knew that none hears it, and the hearing through the store, 2.5 s, began as much later.

Only the first crash waits now. Later ones go into the report at once until a collector confirms some. The limit of one write a second and host is unchanged.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -123,6 +123,8 @@
     to_tell: Vec<Witness>,
     to_ask: Vec<Suspect>,
     unconfirmed: Vec<Unconfirmed>,
+    /// Whether the last witnesses whose time is over were confirmed by no collector.
+    is_unheard: bool,
     /// What the others have to learn from the store.
     outgoing: Outgoing,
     /// When this host learnt of the others.
@@ -387,7 +389,9 @@
             let collectors = holders::told(COLLECTORS, hosts);
             let others = collectors.into_iter().filter(|collector| *collector != own);
             messages.extend(others.map(|collector| (collector, told.clone())));
-            if self.others > 0 {
+            if self.others > 0 && self.is_unheard {
+                self.outgoing.add_witnesses(now, witnesses);
+            } else if self.others > 0 {
                 self.unconfirmed.push(Unconfirmed {
                     number: self.numbers,
                     told_at: now,
@@ -421,6 +425,7 @@
             self.quarantine.record_told(now, part);
         }
         self.unconfirmed.retain(|told| told.number != message.confirmed);
+        self.is_unheard &= message.confirmed == 0;
         // Any answer shows that the sender was asked, and has told what it knows.
         if message.answers_question {
             for hearing in &mut self.hearings {
@@ -447,11 +452,13 @@
         (begun, ended)
     }
 
-    /// Has the crashes written to the store that no collector has confirmed in time.
+    /// Has the crashes written to the store that no collector has confirmed in time. Later ones are written at once
+    /// until a collector confirms some: waiting each time would delay the verdict by as much.
     fn report_unconfirmed(&mut self, now: Moment) {
         let is_late = |told: &Unconfirmed| now.since(told.told_at) >= CONFIRM_TIMEOUT;
         let (late, waiting): (Vec<Unconfirmed>, _) = self.unconfirmed.drain(..).partition(is_late);
         self.unconfirmed = waiting;
+        self.is_unheard |= !late.is_empty();
         for told in late {
             self.outgoing.add_witnesses(now, told.witnesses);
         }
