Do not count crashes before a quarantine that a host knows in part

A sound part was blamed for crashes of a guilty one. Reports in the store hold the latest 16 requests of a host, so that a host which has started again, or reaches few peers, may read of a crash without its guilty request. The quarantine of the guilty part then did not explain that crash, and with two more by chance a part of the requests beside it was proved guilty.

A crash that a host knows from reports alone no longer counts for other parts once a part of the service is put under quarantine later. If most hosts have not answered, no crash before the quarantine does. A second guilty part needs new crashes there.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -254,6 +254,7 @@
     /// service.
     pub fn advance(&mut self, now: Moment, runners: impl Fn(u64) -> usize) -> Vec<Verdict> {
         self.evidence.expire(now);
+        self.evidence.set_quarantined(self.quarantine.parts_begun());
         let has_started = self.started_at.is_some_and(|at| now.since(at) >= START_TIME);
         if !self.is_collector {
             return Vec::new();
@@ -274,6 +275,14 @@
             }
             let was_sound = self.answers.last(part).is_some();
             let is_heard = self.hear(now, part, &tally);
+            let tally = match is_heard {
+                true => tally,
+                false => {
+                    let quarantine = &self.quarantine;
+                    let is_explained = |part: Suspect| quarantine.holds(part);
+                    self.evidence.tally_unheard(part, &self.answers, is_explained)
+                }
+            };
             let is_proof = tally.is_proof(part.scope, runners, was_sound, is_heard);
             if is_proof && !(was_sound && self.has_better_suspect(part, runners, &suspects)) {
                 let is_final = has_started && self.has_last_answers(now, part, &tally, was_sound);
@@ -476,7 +485,7 @@
             self.answers.record(at, part);
         }
         for witness in report.witnesses(now, unix_ms) {
-            self.evidence.add(now, &witness);
+            self.evidence.add_stored(now, &witness);
             for part in &witness.suspects {
                 let answered = self.answers.last(*part).filter(|at| at.reached(witness.at));
                 if let Some(at) = answered
--- a/crates/core/src/proxy/crash/evidence.rs
+++ b/crates/core/src/proxy/crash/evidence.rs
@@ -110,6 +110,8 @@
         runner: u64,
         at: Moment,
         witnesses: Vec<Witness>,
+        /// Whether a host has told of it, and not only a report in the store, which holds some of its requests.
+        is_told: bool,
     }
 }
 
@@ -207,11 +209,22 @@
 pub struct Evidence {
     /// Oldest first.
     crashes: Vec<Crash>,
+    /// Services with parts under quarantine, and when this host learnt of each.
+    quarantined: Vec<(u64, Moment)>,
 }
 
 impl Evidence {
     /// Adds a request that was on a runner when it crashed.
     pub fn add(&mut self, now: Moment, witness: &Witness) {
+        self.add_from(now, witness, true);
+    }
+
+    /// Adds a request of a report in the store.
+    pub(super) fn add_stored(&mut self, now: Moment, witness: &Witness) {
+        self.add_from(now, witness, false);
+    }
+
+    fn add_from(&mut self, now: Moment, witness: &Witness, is_told: bool) {
         // It may have been read from the store again, by a clock that has been adjusted since.
         let is_known = self.crashes.iter().any(|crash| {
             let mut witnesses = crash.witnesses.iter();
@@ -225,14 +238,19 @@
             crash.runner == witness.runner && apart < SAME_CRASH
         };
         match self.crashes.iter_mut().find(is_same) {
-            Some(crash) if crash.witnesses.len() < MAX_WITNESSES => crash.witnesses.push(witness.clone()),
-            Some(_) => {}
+            Some(crash) => {
+                crash.is_told |= is_told;
+                if crash.witnesses.len() < MAX_WITNESSES {
+                    crash.witnesses.push(witness.clone());
+                }
+            }
             None => {
                 let at = self.crashes.partition_point(|crash| witness.at.reached(crash.at));
                 let crash = Crash {
                     runner: witness.runner,
                     at: witness.at,
                     witnesses: vec![witness.clone()],
+                    is_told,
                 };
                 self.crashes.insert(at, crash);
             }
@@ -240,6 +258,18 @@
         self.limit();
     }
 
+    /// Replaces the services with parts under quarantine, and when this host learnt of each.
+    pub(super) fn set_quarantined(&mut self, quarantined: Vec<(u64, Moment)>) {
+        self.quarantined = quarantined;
+    }
+
+    /// Whether a part of the service that was put under quarantine later may have caused a crash: a report in the
+    /// store may leave out the requests with it.
+    fn may_be_explained(&self, crash: &Crash, service: u64) -> bool {
+        let mut quarantined = self.quarantined.iter();
+        quarantined.any(|(known, at)| *known == service && at.reached(crash.at))
+    }
+
     /// Drops the oldest crashes if there are too many, or too many requests in all.
     fn limit(&mut self) {
         let mut witnesses = 0;
@@ -270,12 +300,35 @@
     /// Crashes with a part since its last answer, and those without it; crashes with a part that
     /// `is_explained` are left out.
     pub fn tally(&self, part: Suspect, answers: &Answers, is_explained: impl Fn(Suspect) -> bool) -> Tally {
+        self.tally_of(part, answers, is_explained, |crash| crash.is_told)
+    }
+
+    /// The same if most hosts have not answered: what they know of crashes comes from reports in the store as well.
+    pub(super) fn tally_unheard(
+        &self,
+        part: Suspect,
+        answers: &Answers,
+        is_explained: impl Fn(Suspect) -> bool,
+    ) -> Tally {
+        self.tally_of(part, answers, is_explained, |_| false)
+    }
+
+    fn tally_of(
+        &self,
+        part: Suspect,
+        answers: &Answers,
+        is_explained: impl Fn(Suspect) -> bool,
+        is_complete: impl Fn(&Crash) -> bool,
+    ) -> Tally {
         let answered = answers.last(part);
         // A request under quarantine may have crashed runners by a part of it, so it explains no crashes with that.
         let may_explain = |other: &&Suspect| other.scope == Scope::Part || part.scope == Scope::Request;
         let is_open = |crash: &&Crash| {
             let suspects = crash.witnesses.iter().flat_map(|witness| &witness.suspects);
-            crash.is_of(part.service) && !suspects.filter(may_explain).any(|other| is_explained(*other))
+            let is_left_out = !is_complete(crash) && self.may_be_explained(crash, part.service);
+            crash.is_of(part.service)
+                && !is_left_out
+                && !suspects.filter(may_explain).any(|other| is_explained(*other))
         };
         let is_since_answer = |crash: &Crash| answered.is_none_or(|at| crash.at.reached(at));
         let open: Vec<&Crash> = self.crashes.iter().filter(is_open).collect();
--- a/crates/core/src/proxy/crash/quarantine.rs
+++ b/crates/core/src/proxy/crash/quarantine.rs
@@ -119,6 +119,8 @@
 struct Row {
     part: Suspect,
     stored: Option<Stored>,
+    /// When this host learnt of it.
+    begun_at: Moment,
     /// When this host last heard of it other than from the store.
     told_at: Moment,
     /// Record that this host has yet to write, and when it was last announced.
@@ -153,6 +155,12 @@
         self.position(part).is_ok()
     }
 
+    /// Services with parts under quarantine, and when this host learnt of each.
+    pub(super) fn parts_begun(&self) -> Vec<(u64, Moment)> {
+        let parts = self.rows.iter().filter(|row| row.part.scope == Scope::Part);
+        parts.map(|row| (row.part.service, row.begun_at)).collect()
+    }
+
     /// First of these suspects that is under quarantine.
     pub fn find(&self, suspects: &[Suspect]) -> Option<Suspect> {
         suspects.iter().copied().find(|suspect| self.holds(*suspect))
@@ -198,6 +206,7 @@
                 let row = Row {
                     part,
                     stored: None,
+                    begun_at: now,
                     told_at: now,
                     own: None,
                 };
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -990,6 +990,47 @@
     }
 }
 
+/// Guards against a sound part that is blamed by a host which knows a crash of the guilty one only from the store, where
+/// reports hold some of the requests that were on the runner.
+#[test]
+fn a_part_is_not_blamed_for_crashes_that_the_store_shows_in_part() {
+    for (seed, loss, cut_hosts, every) in [
+        (3_113_867_293_885_257_825, 40, 0, 0),
+        (16_332_966_079_595_898_650, 97, 2, 59_911),
+    ] {
+        let seen = check_random_plan(seed, loss, cut_hosts, true, true, every);
+        assert!(!seen.is_failure(), "{seen:?}");
+    }
+}
+
+/// Guards against the same where the guilty part is under quarantine by the time that the host reads of the crash.
+#[test]
+fn a_crash_before_a_quarantine_proves_nothing_if_only_the_store_shows_it() {
+    let sound = |n: u64, ms| witness(n, n, &[FIRST + n, 50], ms);
+    let verdicts = |first_is_stored: bool| {
+        let mut crashes = lone_host();
+        if first_is_stored {
+            let mut other = lone_host();
+            other.set_hosts(at(0), host(1).address, &[host(0), host(1)]);
+            other.record_end(at(5_000), End::Broken, sound(0, 5_000));
+            other.record_probe(at(5_000), 0, true);
+            other.take_messages(at(5_000), host(1).address, &[host(0), host(1)]);
+            other.take_messages(at(5_500), host(1).address, &[host(0), host(1)]);
+            let report = other.take_report(at(5_500), 5_500).expect("a report");
+            crashes.read_report(at(5_500), 5_500, &report);
+            assert_eq!(crashes.evidence.len(), 1);
+        } else {
+            crashes.record_end(at(5_000), End::Broken, sound(0, 5_000));
+            crashes.record_probe(at(5_000), 0, true);
+        }
+        crashes.quarantine.record_told(at(6_000), part(GUILTY));
+        let later = (1..3).map(|n| sound(n, 7_000 + 1_000 * n));
+        found(&mut crashes, later.collect())
+    };
+    assert_eq!(verdicts(true), []);
+    assert_eq!(verdicts(false), [part(50)], "a host has told of all three");
+}
+
 /// Guards against a verdict that comes too late where most hosts reach no peer and such requests come each 100 ms.
 #[test]
 fn a_frequent_part_is_found_in_time_while_most_hosts_are_cut_off() {
