Bound the time for which a runner asks to wait where a notice is made

A host avoided a peer for a runner for as long as the runner named, while the peer itself waits an hour at most. The bound stood at the host's own hold-off and once more in the table of the own front's runners.

The type of the time, Wait, now holds the bound, and the two copies are gone. Reports of other hosts are bounded as well.

--- a/crates/core/src/kernel.rs
+++ b/crates/core/src/kernel.rs
@@ -8,7 +8,6 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::at_most_once::{Completion, Key, Verdict};
 use crate::config::view::View;
@@ -19,6 +18,7 @@
 use crate::member::Identity;
 use crate::order::Order;
 use crate::peer::{Collect, Collected, Heartbeat, Member, Pull, Pulled, ZoneSummary};
+use crate::proxy::fleet::holdoff::Wait;
 use crate::runner::Listing;
 use crate::store::{self, Token};
 use crate::ticket::Secret;
@@ -93,7 +93,7 @@
         /// A runner announced that it is leaving.
         RunnerLeaving(String),
         /// A runner rejected a call and wants none for some time.
-        RunnerHoldOff(String, Duration),
+        RunnerHoldOff(String, Wait),
         /// Usage of one call.
         RecordUsage(Record),
         /// Answer from the store.
--- a/crates/core/src/kernel/dispatch.rs
+++ b/crates/core/src/kernel/dispatch.rs
@@ -102,8 +102,8 @@
                 self.dispatcher.runners.mark_leaving(now, name);
                 Vec::new()
             }
-            Event::RunnerHoldOff(name, length) => {
-                self.dispatcher.runners.hold_off(now, name, *length);
+            Event::RunnerHoldOff(name, wait) => {
+                self.dispatcher.runners.hold_off(now, name, *wait);
                 Vec::new()
             }
             Event::Heartbeat(heartbeat) => {
--- a/crates/core/src/proxy/fleet/holdoff.rs
+++ b/crates/core/src/proxy/fleet/holdoff.rs
@@ -22,13 +22,31 @@
 
 /// Longest time for which a host waits, whatever a runner asks. A runner that names a longer one by mistake is used
 /// again without a restart, and one that means it gets a request an hour.
-const MAX_HOLD_OFF: Duration = Duration::from_secs(3_600);
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
 /// Time between the first requests after the end, until the runner has taken one.
 const RESUME_INTERVAL: Duration = Duration::from_millis(100);
 /// Time over which the first requests of all hosts are spread: a part for each, and the maximum.
 const SPREAD_PER_HOST: Duration = Duration::from_millis(20);
 const MAX_SPREAD: Duration = Duration::from_secs(2);
 
+plain! {
+    /// Time for which a runner asks a host to wait, an hour at most.
+    #[derive(Copy, Eq)]
+    pub struct Wait(Duration);
+}
+
+impl Wait {
+    /// This time, or the longest one.
+    pub fn new(length: Duration) -> Self {
+        Self(length.min(MAX_WAIT))
+    }
+
+    /// How long it is.
+    pub fn length(self) -> Duration {
+        self.0
+    }
+}
+
 plain! {
     /// What a rejection says about the time to wait.
     #[derive(Copy, Default, Eq)]
@@ -37,7 +55,7 @@
         #[default]
         Absent,
         /// This host should wait for so long.
-        For(Duration),
+        For(Wait),
         /// Something that cannot be read, and changes nothing.
         Malformed,
     }
@@ -47,7 +65,7 @@
     /// Time to wait in milliseconds, for log lines.
     pub fn wait_ms(self) -> Option<u64> {
         match self {
-            Notice::For(length) => Some(u64::try_from(length.as_millis()).unwrap_or(u64::MAX)),
+            Notice::For(wait) => Some(wait.length().as_millis() as u64),
             Notice::Absent | Notice::Malformed => None,
         }
     }
@@ -89,7 +107,7 @@
     fn record(&mut self, now: Moment, notice: Notice, delay: Duration) -> Option<Change> {
         let length = match notice {
             Notice::Absent => return None,
-            Notice::For(length) => length.min(MAX_HOLD_OFF),
+            Notice::For(wait) => wait.length(),
             Notice::Malformed => return self.malformed.record(now).then_some(Change::Malformed),
         };
         let until = now + length;
--- a/crates/core/src/proxy/fleet/holdoff/peers.rs
+++ b/crates/core/src/proxy/fleet/holdoff/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::super::{Fleet, Key};
-use super::Notice;
+use super::{Notice, Wait};
 use crate::time::Moment;
 
 /// Time by which the same hold-off may seem to end later, as reports take time.
@@ -66,9 +66,9 @@
 impl Fleet {
     /// Records that a runner has asked a peer, which connected to it for this host, to wait.
     pub fn record_peer_hold_off(&mut self, now: Moment, key: Key, peer: u64, notice: Notice) {
-        if let Notice::For(length) = notice {
+        if let Notice::For(wait) = notice {
             let held = Held {
-                until: now + length,
+                until: now + wait.length(),
                 is_own: true,
             };
             self.peer_hold_offs.has_news |= self.peer_hold_offs.record(now, peer, key, held);
@@ -124,17 +124,18 @@
         let Some(key) = self.find_by_hash(report.runner) else {
             return;
         };
+        let wait = Wait::new(report.remaining);
         if report.host != self.own_host {
             let held = Held {
-                until: now + report.remaining,
+                until: now + wait.length(),
                 is_own: false,
             };
             self.peer_hold_offs.record(now, report.host, key, held);
             return;
         }
         let known = self.get(key).map(|runner| runner.hold_off.remaining(now));
-        if known.is_none_or(|known| known + ECHO_TIME < report.remaining) {
-            self.record_hold_off(now, key, Notice::For(report.remaining));
+        if known.is_none_or(|known| known + ECHO_TIME < wait.length()) {
+            self.record_hold_off(now, key, Notice::For(wait));
         }
     }
 }
--- a/crates/core/src/runner.rs
+++ b/crates/core/src/runner.rs
@@ -9,6 +9,7 @@
 
 use crate::id::{self, Incarnation};
 use crate::peer::HostLoad;
+use crate::proxy::fleet::holdoff::Wait;
 use crate::time::Moment;
 
 arena_key! {
@@ -22,8 +23,6 @@
 const MIN_BACKOFF: Duration = Duration::from_secs(1);
 /// Maximum back-off of a runner.
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
-/// Longest time for which a host waits, whatever a runner asks.
-const MAX_HOLD_OFF: Duration = Duration::from_secs(3_600);
 /// How long a peer's reported calls count without a newer heartbeat.
 const PEER_LOAD_TTL: Duration = Duration::from_secs(20);
 /// Minimum length of a round, at whose end its calls count as reported to all peers.
@@ -250,10 +249,10 @@
     }
 
     /// Records that a runner wants nothing from this host for some time. The latest end binds, until its process ends.
-    pub fn hold_off(&mut self, now: Moment, name: &str, length: Duration) {
+    pub fn hold_off(&mut self, now: Moment, name: &str, wait: Wait) {
         if let Some(key) = self.find(name) {
             let runner = &mut self.arena[key.index()];
-            runner.held_until = runner.held_until.max(now + length.min(MAX_HOLD_OFF));
+            runner.held_until = runner.held_until.max(now + wait.length());
         }
     }
 
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -173,13 +173,13 @@
         handle.notify(Event::RunnerLeaving(runner.to_string()));
     }
     match hold_off::notice(answer.status(), answer.headers()) {
-        Notice::For(length) => {
+        Notice::For(wait) => {
             tracing::info!(
                 event = "runner-hold-off",
                 runner,
-                wait_ms = Notice::For(length).wait_ms()
+                wait_ms = Notice::For(wait).wait_ms()
             );
-            handle.notify(Event::RunnerHoldOff(runner.to_string(), length));
+            handle.notify(Event::RunnerHoldOff(runner.to_string(), wait));
         }
         Notice::Malformed => tracing::debug!(event = "runner-hold-off-malformed", runner),
         Notice::Absent => {}
--- a/crates/entry/src/upstream/hold_off.rs
+++ b/crates/entry/src/upstream/hold_off.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use hyper::header::{DATE, HeaderMap, HeaderValue, RETRY_AFTER};
-use radishstair_core::proxy::fleet::holdoff::Notice;
+use radishstair_core::proxy::fleet::holdoff::{Notice, Wait};
 
 /// The longest of the times that an answer names, if it is a rejection.
 pub fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
@@ -18,7 +18,7 @@
     }
     let sent = headers.get(DATE).and_then(date);
     let longest = values.filter_map(|value| wait(value, sent)).max();
-    longest.map_or(Notice::Malformed, Notice::For)
+    longest.map_or(Notice::Malformed, |longest| Notice::For(Wait::new(longest)))
 }
 
 /// Time in seconds, or until a date by the clock of the server. Negative times, and dates in an answer without
