Ask once when runners of a service that are all restricted take requests

are_all_restricted and next_send held the same condition, and two callers asked both. One function now returns the next moment if all runners are restricted. What runners have said is a Deferral, which has no case for runners that cannot be used, so that next_send needs no arm for it.

Behaviour is unchanged. The test of runners beyond their limits asks the one function.

--- a/crates/core/src/proxy/fleet/clearance.rs
+++ b/crates/core/src/proxy/fleet/clearance.rs
@@ -21,36 +21,45 @@
     }
 }
 
-impl Clearance {
-    /// The stricter of two.
-    fn and(self, other: Self) -> Self {
-        match (self, other) {
-            (Clearance::Denied, _) | (_, Clearance::Denied) => Clearance::Denied,
-            (Clearance::Deferred(Some(a)), Clearance::Deferred(Some(b))) => {
-                Clearance::Deferred(Some(a.max(b)))
-            }
-            (Clearance::Deferred(None), _) | (_, Clearance::Deferred(None)) => Clearance::Deferred(None),
-            (Clearance::Deferred(at), Clearance::Granted) | (Clearance::Granted, Clearance::Deferred(at)) => {
-                Clearance::Deferred(at)
-            }
-            (Clearance::Granted, Clearance::Granted) => Clearance::Granted,
-        }
+plain! {
+    /// Until when a runner that can be used takes no requests of this host. The later variant is the stricter one.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub(super) enum Deferral {
+        /// It takes requests now.
+        None,
+        /// It takes none before this moment.
+        Until(Moment),
+        /// This host is not to send to it at all.
+        Indefinite,
     }
+}
 
-    /// Granted from a moment on.
-    pub(super) fn from(now: Moment, at: Moment) -> Self {
+impl Deferral {
+    /// Until a moment, if that lies ahead.
+    pub(super) fn until(now: Moment, at: Moment) -> Self {
         match now.reached(at) {
-            true => Clearance::Granted,
-            false => Clearance::Deferred(Some(at)),
+            true => Deferral::None,
+            false => Deferral::Until(at),
         }
     }
 }
 
+impl Runner {
+    /// Whether it has named a limit, or has asked this host to wait.
+    fn is_restricted(&self, now: Moment) -> bool {
+        self.rate.limit_at(now).is_some() || self.hold_off.is_active()
+    }
+}
+
 impl Fleet {
     /// Whether a new request may be placed on a runner.
     pub fn clearance(&self, now: Moment, runner: &Runner, way: Way) -> Clearance {
         match runner.is_available(now, way) && self.is_warm_for(now, runner, way) {
-            true => self.deferral(now, runner),
+            true => match self.deferral(now, runner) {
+                Deferral::None => Clearance::Granted,
+                Deferral::Until(at) => Clearance::Deferred(Some(at)),
+                Deferral::Indefinite => Clearance::Deferred(None),
+            },
             false => Clearance::Denied,
         }
     }
@@ -69,38 +78,38 @@
     }
 
     /// What a runner that can be used has said about itself.
-    fn deferral(&self, now: Moment, runner: &Runner) -> Clearance {
-        runner.hold_off.clearance(now).and(runner.rate.clearance(now))
+    fn deferral(&self, now: Moment, runner: &Runner) -> Deferral {
+        runner.hold_off.deferral(now).max(runner.rate.deferral(now))
     }
 
     /// Runners among these that may be sent a request now.
     pub fn cleared<'a>(&self, now: Moment, mut usable: Vec<(Key, &'a Runner)>) -> Vec<(Key, &'a Runner)> {
-        usable.retain(|(_, runner)| self.deferral(now, runner) == Clearance::Granted);
+        usable.retain(|(_, runner)| self.deferral(now, runner) == Deferral::None);
         usable
     }
 
-    /// Whether all runners of a service have named a limit, or have asked this host to wait.
-    pub fn are_all_restricted(&self, now: Moment, service: &str) -> bool {
-        let is_restricted =
-            |runner: &Runner| runner.rate.limit_at(now).is_some() || runner.hold_off.is_active();
-        let mut listed = self.listed_of(now, service).peekable();
-        listed.peek().is_some() && listed.all(is_restricted)
-    }
-
     /// Next moment from which this host may send a request to a runner of a service that has named a limit or asked to
     /// wait; `None` if there is none.
     pub fn next_send(&self, now: Moment, service: &str) -> Option<Moment> {
-        let is_restricted =
-            |runner: &&Runner| runner.rate.limit_at(now).is_some() || runner.hold_off.is_active();
-        let restricted = self.listed_of(now, service).filter(is_restricted);
+        let restricted = self
+            .listed_of(now, service)
+            .filter(|runner| runner.is_restricted(now));
         let moments = restricted.filter_map(|runner| match self.deferral(now, runner) {
-            Clearance::Granted => Some(now),
-            Clearance::Deferred(at) => at,
-            Clearance::Denied => None,
+            Deferral::None => Some(now),
+            Deferral::Until(at) => Some(at),
+            Deferral::Indefinite => None,
         });
         moments.min_by_key(|at| at.mono_us)
     }
 
+    /// The same if all runners of the service have named a limit or asked to wait; `None` if any has not.
+    pub fn next_send_if_all_restricted(&self, now: Moment, service: &str) -> Option<Moment> {
+        let mut listed = self.listed_of(now, service);
+        listed
+            .all(|runner| runner.is_restricted(now))
+            .then(|| self.next_send(now, service))?
+    }
+
     /// Runners of a service that accept new requests according to the list.
     fn listed_of<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = &'a Runner> {
         self.arena
--- a/crates/core/src/proxy/fleet/holdoff.rs
+++ b/crates/core/src/proxy/fleet/holdoff.rs
@@ -14,7 +14,7 @@
 pub(super) use peers::Peers;
 pub use peers::Report;
 
-use super::clearance::Clearance;
+use super::clearance::Deferral;
 use super::notice::Malformed;
 use super::{Fleet, Key, Runner};
 use crate::id::rendezvous_weight;
@@ -137,11 +137,11 @@
         }
     }
 
-    /// Whether this host may place a request on the runner.
-    pub(super) fn clearance(&self, now: Moment) -> Clearance {
+    /// Until when this host may place no request on the runner.
+    pub(super) fn deferral(&self, now: Moment) -> Deferral {
         match self.is_active() {
-            true => Clearance::from(now, self.next_send),
-            false => Clearance::Granted,
+            true => Deferral::until(now, self.next_send),
+            false => Deferral::None,
         }
     }
 
--- a/crates/core/src/proxy/fleet/rate.rs
+++ b/crates/core/src/proxy/fleet/rate.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use super::clearance::Clearance;
+use super::clearance::Deferral;
 use super::notice::Malformed;
 use super::{Fleet, Key, Runner};
 use crate::id::rendezvous_weight;
@@ -170,14 +170,14 @@
         self.limit.filter(|_| is_known)
     }
 
-    /// Whether this host may send a request.
-    pub(super) fn clearance(&self, now: Moment) -> Clearance {
+    /// Until when this host may send no request.
+    pub(super) fn deferral(&self, now: Moment) -> Deferral {
         match (self.limit_at(now), self.interval) {
-            (None, _) => Clearance::Granted,
-            (Some(_), None) => Clearance::Deferred(None),
+            (None, _) => Deferral::None,
+            (Some(_), None) => Deferral::Indefinite,
             (Some(_), Some(interval)) => {
                 let next = self.sent_at.map_or(now, |at| at + interval);
-                Clearance::from(now, next)
+                Deferral::until(now, next)
             }
         }
     }
--- a/crates/entry/src/proxy/acquire.rs
+++ b/crates/entry/src/proxy/acquire.rs
@@ -4,7 +4,6 @@
 
 use radishstair_core::error::{Kind, Refusal};
 use radishstair_core::proxy::waiting::Ticket;
-use radishstair_core::time::Moment;
 use tokio::time::{Instant, timeout_at};
 
 use super::Shared;
@@ -139,10 +138,8 @@
         let service = &job.admission.service;
         let wait = self.room_wait(job);
         let state = self.shared.state();
-        let is_due_soon = |at: Moment| now.until(at) < wait;
-        state.fleet.is_brittle(now, service)
-            || state.fleet.are_all_restricted(now, service)
-                && state.fleet.next_send(now, service).is_some_and(is_due_soon)
+        let next = || state.fleet.next_send_if_all_restricted(now, service);
+        state.fleet.is_brittle(now, service) || next().is_some_and(|at| now.until(at) < wait)
     }
 
     /// When a runner that has named a limit or asked to wait may get a request of this host, after a short pause at
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -465,8 +465,7 @@
     /// Time until one of a service's runners takes requests of this host again, if all have asked to wait.
     fn wait_for_runners(&self, now: Moment, service: &str) -> Duration {
         let state = self.shared.state();
-        let is_restricted = state.fleet.are_all_restricted(now, service);
-        let next = state.fleet.next_send(now, service).filter(|_| is_restricted);
+        let next = state.fleet.next_send_if_all_restricted(now, service);
         next.map(|next| now.until(next)).unwrap_or_default()
     }
 
--- a/tests/suite/proxy/rate.rs
+++ b/tests/suite/proxy/rate.rs
@@ -493,8 +493,7 @@
     };
     let placement = state.place_in_time(at(20), &demand, &[], None);
     assert_eq!(placement, Placement::Overloaded { candidates: 1 });
-    assert!(state.fleet.are_all_restricted(at(20), SERVICE));
-    let next = state.fleet.next_send(at(20), SERVICE);
+    let next = state.fleet.next_send_if_all_restricted(at(20), SERVICE);
     assert!(
         next.is_some_and(|next| next.since(at(20)) > Duration::from_secs(1)),
         "{next:?}"
