Count the halt of a brittle runner as a deferral

The halt after a rejection was looked at before bytes are sent and where room is counted, but not with what else the runner has said. It joins them in deferral, from which both get it. The next moment of a runner that is also limited or held off is now that of the end of its halt, if that is later.

The test of the halt asks for cleared runners before those with room, as placement does.

--- a/crates/core/src/proxy/fleet/brittle.rs
+++ b/crates/core/src/proxy/fleet/brittle.rs
@@ -12,6 +12,7 @@
 
 use std::time::Duration;
 
+use super::clearance::Deferral;
 use super::{Fleet, Key, Runner};
 use crate::proxy::services::Services;
 use crate::time::Moment;
@@ -104,9 +105,9 @@
 }
 
 impl Room {
-    /// Whether this host sends nothing to the runner.
-    pub(super) fn is_halted(&self, now: Moment) -> bool {
-        !now.reached(self.halted_until)
+    /// Until when this host sends nothing to the runner, if it is brittle.
+    pub(super) fn halt(&self, now: Moment) -> Deferral {
+        Deferral::until(now, self.halted_until)
     }
 
     /// Factor of the runner's limit.
@@ -214,7 +215,7 @@
         hashes.collect()
     }
 
-    /// Runners among these to which one more request may be sent, if those of the service are brittle.
+    /// Runners among these that have room for one more request, if those of the service are brittle.
     pub fn with_room<'a>(
         &self,
         now: Moment,
@@ -236,8 +237,7 @@
                 return false;
             };
             let part = (slots / senders as f64).floor().max(1.0);
-            !runner.room.is_halted(now)
-                && f64::from(runner.local_load.running) < part
+            f64::from(runner.local_load.running) < part
                 && f64::from(runner.running()) < slots.max(1.0)
                 && runner.backlog() < MAX_BACKLOG
         };
--- a/crates/core/src/proxy/fleet/clearance.rs
+++ b/crates/core/src/proxy/fleet/clearance.rs
@@ -73,13 +73,23 @@
             runner.is_listed(now)
                 && runner.hold_off.admits(now, placed)
                 && runner.rate.admits(now, placed)
-                && (!runner.room.is_halted(now) || !self.is_brittle(now, &runner.listed.service))
+                && self.halt(now, runner) == Deferral::None
         })
     }
 
     /// What a runner that can be used has said about itself.
     fn deferral(&self, now: Moment, runner: &Runner) -> Deferral {
-        runner.hold_off.deferral(now).max(runner.rate.deferral(now))
+        let said = runner.hold_off.deferral(now).max(runner.rate.deferral(now));
+        said.max(self.halt(now, runner))
+    }
+
+    /// Until when this host sends nothing to a brittle runner that has rejected its request.
+    fn halt(&self, now: Moment, runner: &Runner) -> Deferral {
+        match runner.room.halt(now) {
+            Deferral::None => Deferral::None,
+            halt if self.is_brittle(now, &runner.listed.service) => halt,
+            _ => Deferral::None,
+        }
     }
 
     /// Runners among these that may be sent a request now.
--- a/tests/suite/proxy/brittle.rs
+++ b/tests/suite/proxy/brittle.rs
@@ -251,7 +251,8 @@
     let key = hosts[0].fleet.find("r1").expect("listed");
     let may_use = |state: &State, ms: u64| {
         let eligible = state.fleet.available(at(ms), "ledger", Way::Direct).collect();
-        let left = state.fleet.with_room(at(ms), "ledger", eligible);
+        let cleared = state.fleet.cleared(at(ms), eligible);
+        let left = state.fleet.with_room(at(ms), "ledger", cleared);
         left.iter().any(|(left, _)| *left == key)
     };
     let sender = hosts
