--- a/crates/core/src/proxy/fleet/holdoff/peers.rs
+++ b/crates/core/src/proxy/fleet/holdoff/peers.rs
@@ -109,12 +109,15 @@
                 remaining: now.until(held.until),
             })
         });
-        let own = self.arena.iter().map(|runner| Report {
+        let runners = match self.peer_hold_offs.is_relaying {
+            true => self.arena.as_slice(),
+            false => &[],
+        };
+        let own = runners.iter().map(|runner| Report {
             runner: runner.hash,
             host: self.own_host,
             remaining: runner.hold_off.remaining(now),
         });
-        let own = own.filter(|_| self.peer_hold_offs.is_relaying);
         let reports = of_peers.chain(own).filter(|report| !report.remaining.is_zero());
         reports.take(MAX_REPORTED).collect()
     }
