--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -105,18 +105,14 @@
     /// Records what the runner says about itself in its answer to a request.
     pub fn record_notices(&self, now: Moment, job: &Job, answer: Answer, notices: &Notices) {
         let sent = self.sent_at.unwrap_or(now);
-        let changes = self
-            .shared
-            .state()
-            .fleet
-            .record_notices(now, self.key, sent, answer, notices);
-        if let Some(peer) = self.relay.filter(|_| answer == Answer::Rejected) {
-            let peer = address_hash(peer);
+        let changes = {
             let mut state = self.shared.state();
-            state
-                .fleet
-                .record_peer_hold_off(now, self.key, peer, notices.hold_off);
-        }
+            let fleet = &mut state.fleet;
+            if let Some(peer) = self.relay.filter(|_| answer == Answer::Rejected) {
+                fleet.record_peer_hold_off(now, self.key, address_hash(peer), notices.hold_off);
+            }
+            fleet.record_notices(now, self.key, sent, answer, notices)
+        };
         if changes.has_begun_to_leave || changes.hold_off.is_some() {
             self.shared.load_changed.notify_one();
         }
