Count hosts as heard about a part only if they have kept answers for long enough

A rare sound part was blamed after three crashes by chance: the hosts that had seen its answers had started again between these and had forgotten them, and their replies counted as those of hosts that knew of none.

A reply now says for how long its host has kept answers. It counts for a part if that is since the first crash with it; otherwise the higher proof is needed. Replies of a former version, which do not say so, count as before. For a request any host counts, as a caller does not repeat one that was answered.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -317,6 +317,7 @@
 
     /// Asks the other hosts about a suspect part, if that is due; returns whether most have answered.
     fn hear(&mut self, now: Moment, part: Suspect, tally: &Tally) -> bool {
+        let known_since = known_since(now, part, tally);
         let found = self.hearings.iter().position(|hearing| hearing.part == part);
         match found {
             Some(at) => {
@@ -328,7 +329,7 @@
                     hearing.asked += 1;
                     self.to_ask.push(part);
                 }
-                hearing.is_answered(self.others)
+                hearing.is_answered(self.others, known_since)
             }
             None if self.hearings.len() < MAX_HEARINGS => {
                 self.hearings.push(Hearing {
@@ -356,7 +357,7 @@
         let Some(hearing) = self.hearings.iter_mut().find(|hearing| hearing.part == part) else {
             return false;
         };
-        let time = match hearing.is_answered(others) {
+        let time = match hearing.is_answered(others, known_since(now, part, tally)) {
             true => HEARING,
             false => HEARING_BY_STORE,
         };
@@ -438,14 +439,13 @@
         // Any answer shows that the sender was asked, and has told what it knows.
         if message.answers_question {
             for hearing in &mut self.hearings {
-                if let Err(at) = hearing.repliers.binary_search(&from) {
-                    hearing.repliers.insert(at, from);
-                }
+                hearing.record_reply(from, message.kept_since(now));
             }
         }
         message.questions().for_each(|suspect| self.hold(now, suspect));
         let known = |part: Suspect| self.answers.last(part).map(|at| (part, at));
-        Message::answer(now, message, message.questions().filter_map(known))
+        let kept = self.started_at.map(|at| now.since(at)).unwrap_or_default();
+        Message::answer(now, message, message.questions().filter_map(known), kept)
     }
 
     /// Applies the records in the store; returns those that are new, and the parts whose quarantine has ended.
@@ -498,3 +498,12 @@
         }
     }
 }
+
+/// When a host has to have kept answers to count as heard about a suspect: since the first crash with a part. A
+/// request that was answered is not repeated by its caller, so any host counts.
+fn known_since(now: Moment, suspect: Suspect, tally: &Tally) -> Moment {
+    match suspect.scope {
+        Scope::Part => tally.first,
+        Scope::Request => now,
+    }
+}
--- a/crates/core/src/proxy/crash/hearing.rs
+++ b/crates/core/src/proxy/crash/hearing.rs
@@ -29,16 +29,26 @@
     pub(super) crashes: u32,
     /// Number of times that they were asked.
     pub(super) asked: u32,
-    /// Hosts that have answered, sorted.
-    pub(super) repliers: Vec<SocketAddr>,
+    /// Hosts that have answered, and since when each has kept answers; sorted.
+    pub(super) repliers: Vec<(SocketAddr, Moment)>,
     /// When they were asked for the last time before a verdict.
     pub(super) asked_last_at: Option<Moment>,
 }
 
 impl Hearing {
-    /// Whether most of the other hosts have answered.
-    pub(super) fn is_answered(&self, others: usize) -> bool {
-        self.repliers.len() * 2 >= others
+    /// Whether most of the other hosts have answered that have kept answers since `first`: one that has started
+    /// later does not know whether requests were answered before.
+    pub(super) fn is_answered(&self, others: usize, first: Moment) -> bool {
+        let knowing = self.repliers.iter().filter(|(_, since)| first.reached(*since));
+        knowing.count() * 2 >= others
+    }
+
+    /// Records that a host has answered.
+    pub(super) fn record_reply(&mut self, from: SocketAddr, kept_since: Moment) {
+        match self.repliers.binary_search_by_key(&from, |(host, _)| *host) {
+            Ok(at) => self.repliers[at].1 = kept_since,
+            Err(at) => self.repliers.insert(at, (from, kept_since)),
+        }
     }
 
     /// When it has to be looked at again: the next such moment after `now`.
--- a/crates/core/src/proxy/crash/message.rs
+++ b/crates/core/src/proxy/crash/message.rs
@@ -74,6 +74,9 @@
     /// Whether the message answers a question, with all that the sender knows.
     #[prost(bool, tag = "7")]
     pub answers_question: bool,
+    /// Time for which the sender has kept answers, in milliseconds; 0 if it does not say.
+    #[prost(uint32, tag = "8")]
+    pub kept_ms: u32,
 }
 
 impl Message {
@@ -115,11 +118,16 @@
         now: Moment,
         message: &Self,
         answers: impl Iterator<Item = (Suspect, Moment)>,
+        kept: Duration,
     ) -> Self {
         let answered = answers.map(|(part, at)| entry(part, millis(now.since(at))));
         Self {
             confirmed: message.number,
             answers_question: !message.asked.is_empty(),
+            kept_ms: match message.asked.is_empty() {
+                true => 0,
+                false => millis(kept).max(1),
+            },
             answered: answered.collect(),
             ..Self::default()
         }
@@ -154,6 +162,14 @@
         })
     }
 
+    /// Since when the sender has kept answers; the beginning if it does not say.
+    pub(super) fn kept_since(&self, now: Moment) -> Moment {
+        match self.kept_ms {
+            0 => Moment::default(),
+            kept_ms => before(now, kept_ms),
+        }
+    }
+
     /// Suspects that the sender asks about.
     pub(super) fn questions(&self) -> impl Iterator<Item = Suspect> + '_ {
         self.asked.iter().take(MAX_ENTRIES).map(suspect)
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -1001,6 +1001,16 @@
         let seen = check_random_plan(seed, loss, cut_hosts, true, true, every);
         assert!(!seen.is_failure(), "{seen:?}");
     }
+    // A host that reaches most of its peers not at all.
+    let seen = check_random_plan(17_869_865_153_885_494_936, 25, 5, false, true, 0);
+    assert!(!seen.is_failure(), "{seen:?}");
+}
+
+/// Guards against a sound part that is blamed since the hosts which have seen its answers have started again.
+#[test]
+fn a_part_is_not_blamed_as_hosts_that_have_seen_its_answers_are_killed() {
+    let seen = check_random_plan(1_265_795_131_934_161_355, 163, 1, true, true, 65_345);
+    assert!(!seen.is_failure(), "{seen:?}");
 }
 
 /// Guards against the same where the guilty part is under quarantine by the time that the host reads of the crash.
