--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -123,6 +123,8 @@
     to_tell: Vec<Witness>,
     to_ask: Vec<Suspect>,
     unconfirmed: Vec<Unconfirmed>,
+    /// Whether the last witnesses whose time is over were confirmed by no collector.
+    is_unheard: bool,
     /// What the others have to learn from the store.
     outgoing: Outgoing,
     /// When this host learnt of the others.
@@ -252,6 +254,7 @@
     /// service.
     pub fn advance(&mut self, now: Moment, runners: impl Fn(u64) -> usize) -> Vec<Verdict> {
         self.evidence.expire(now);
+        self.evidence.set_quarantined(self.quarantine.parts_begun());
         let has_started = self.started_at.is_some_and(|at| now.since(at) >= START_TIME);
         if !self.is_collector {
             return Vec::new();
@@ -272,6 +275,14 @@
             }
             let was_sound = self.answers.last(part).is_some();
             let is_heard = self.hear(now, part, &tally);
+            let tally = match is_heard {
+                true => tally,
+                false => {
+                    let quarantine = &self.quarantine;
+                    let is_explained = |part: Suspect| quarantine.holds(part);
+                    self.evidence.tally_unheard(part, &self.answers, is_explained)
+                }
+            };
             let is_proof = tally.is_proof(part.scope, runners, was_sound, is_heard);
             if is_proof && !(was_sound && self.has_better_suspect(part, runners, &suspects)) {
                 let is_final = has_started && self.has_last_answers(now, part, &tally, was_sound);
@@ -306,6 +317,7 @@
 
     /// Asks the other hosts about a suspect part, if that is due; returns whether most have answered.
     fn hear(&mut self, now: Moment, part: Suspect, tally: &Tally) -> bool {
+        let known_since = known_since(now, part, tally);
         let found = self.hearings.iter().position(|hearing| hearing.part == part);
         match found {
             Some(at) => {
@@ -317,7 +329,7 @@
                     hearing.asked += 1;
                     self.to_ask.push(part);
                 }
-                hearing.is_answered(self.others)
+                hearing.is_answered(self.others, known_since)
             }
             None if self.hearings.len() < MAX_HEARINGS => {
                 self.hearings.push(Hearing {
@@ -345,7 +357,7 @@
         let Some(hearing) = self.hearings.iter_mut().find(|hearing| hearing.part == part) else {
             return false;
         };
-        let time = match hearing.is_answered(others) {
+        let time = match hearing.is_answered(others, known_since(now, part, tally)) {
             true => HEARING,
             false => HEARING_BY_STORE,
         };
@@ -387,7 +399,9 @@
             let collectors = holders::told(COLLECTORS, hosts);
             let others = collectors.into_iter().filter(|collector| *collector != own);
             messages.extend(others.map(|collector| (collector, told.clone())));
-            if self.others > 0 {
+            if self.others > 0 && self.is_unheard {
+                self.outgoing.add_witnesses(now, witnesses);
+            } else if self.others > 0 {
                 self.unconfirmed.push(Unconfirmed {
                     number: self.numbers,
                     told_at: now,
@@ -421,17 +435,17 @@
             self.quarantine.record_told(now, part);
         }
         self.unconfirmed.retain(|told| told.number != message.confirmed);
+        self.is_unheard &= message.confirmed == 0;
         // Any answer shows that the sender was asked, and has told what it knows.
         if message.answers_question {
             for hearing in &mut self.hearings {
-                if let Err(at) = hearing.repliers.binary_search(&from) {
-                    hearing.repliers.insert(at, from);
-                }
+                hearing.record_reply(from, message.kept_since(now));
             }
         }
         message.questions().for_each(|suspect| self.hold(now, suspect));
         let known = |part: Suspect| self.answers.last(part).map(|at| (part, at));
-        Message::answer(now, message, message.questions().filter_map(known))
+        let kept = self.started_at.map(|at| now.since(at)).unwrap_or_default();
+        Message::answer(now, message, message.questions().filter_map(known), kept)
     }
 
     /// Applies the records in the store; returns those that are new, and the parts whose quarantine has ended.
@@ -447,11 +461,13 @@
         (begun, ended)
     }
 
-    /// Has the crashes written to the store that no collector has confirmed in time.
+    /// Has the crashes written to the store that no collector has confirmed in time. Later ones are written at once
+    /// until a collector confirms some: waiting each time would delay the verdict by as much.
     fn report_unconfirmed(&mut self, now: Moment) {
         let is_late = |told: &Unconfirmed| now.since(told.told_at) >= CONFIRM_TIMEOUT;
         let (late, waiting): (Vec<Unconfirmed>, _) = self.unconfirmed.drain(..).partition(is_late);
         self.unconfirmed = waiting;
+        self.is_unheard |= !late.is_empty();
         for told in late {
             self.outgoing.add_witnesses(now, told.witnesses);
         }
@@ -469,7 +485,7 @@
             self.answers.record(at, part);
         }
         for witness in report.witnesses(now, unix_ms) {
-            self.evidence.add(now, &witness);
+            self.evidence.add_stored(now, &witness);
             for part in &witness.suspects {
                 let answered = self.answers.last(*part).filter(|at| at.reached(witness.at));
                 if let Some(at) = answered
@@ -482,3 +498,12 @@
         }
     }
 }
+
+/// When a host has to have kept answers to count as heard about a suspect: since the first crash with a part. A
+/// request that was answered is not repeated by its caller, so any host counts.
+fn known_since(now: Moment, suspect: Suspect, tally: &Tally) -> Moment {
+    match suspect.scope {
+        Scope::Part => tally.first,
+        Scope::Request => now,
+    }
+}
--- a/crates/core/src/proxy/fleet/holdoff/peers.rs
+++ b/crates/core/src/proxy/fleet/holdoff/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::super::{Fleet, Key};
-use super::Notice;
+use super::{Notice, Wait};
 use crate::time::Moment;
 
 /// Time by which the same hold-off may seem to end later, as reports take time.
@@ -66,9 +66,9 @@
 impl Fleet {
     /// Records that a runner has asked a peer, which connected to it for this host, to wait.
     pub fn record_peer_hold_off(&mut self, now: Moment, key: Key, peer: u64, notice: Notice) {
-        if let Notice::For(length) = notice {
+        if let Notice::For(wait) = notice {
             let held = Held {
-                until: now + length,
+                until: now + wait.length(),
                 is_own: true,
             };
             self.peer_hold_offs.has_news |= self.peer_hold_offs.record(now, peer, key, held);
@@ -109,12 +109,15 @@
                 remaining: now.until(held.until),
             })
         });
-        let own = self.arena.iter().map(|runner| Report {
+        let runners = match self.peer_hold_offs.is_relaying {
+            true => self.arena.as_slice(),
+            false => &[],
+        };
+        let own = runners.iter().map(|runner| Report {
             runner: runner.hash,
             host: self.own_host,
             remaining: runner.hold_off.remaining(now),
         });
-        let own = own.filter(|_| self.peer_hold_offs.is_relaying);
         let reports = of_peers.chain(own).filter(|report| !report.remaining.is_zero());
         reports.take(MAX_REPORTED).collect()
     }
@@ -124,17 +127,18 @@
         let Some(key) = self.find_by_hash(report.runner) else {
             return;
         };
+        let wait = Wait::new(report.remaining);
         if report.host != self.own_host {
             let held = Held {
-                until: now + report.remaining,
+                until: now + wait.length(),
                 is_own: false,
             };
             self.peer_hold_offs.record(now, report.host, key, held);
             return;
         }
         let known = self.get(key).map(|runner| runner.hold_off.remaining(now));
-        if known.is_none_or(|known| known + ECHO_TIME < report.remaining) {
-            self.record_hold_off(now, key, Notice::For(report.remaining));
+        if known.is_none_or(|known| known + ECHO_TIME < wait.length()) {
+            self.record_hold_off(now, key, Notice::For(wait));
         }
     }
 }
