--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -1053,6 +1053,8 @@
 fn a_part_is_found_while_hosts_without_peers_are_killed() {
     let seen = check_random_plan(4_323_111_570_481_706_683, 0, 7, true, false, 58_740);
     assert!(!seen.is_failure(), "{seen:?}");
+    let seen = finds_the_guilty_part_while_cut_hosts_are_killed(4_659_312_598_484_038_862, 0, 13, true, 0);
+    assert!(!seen.is_failure(), "{seen:?}");
     QuickCheck::new().tests(30).quickcheck(
         finds_the_guilty_part_while_cut_hosts_are_killed as fn(u64, u8, u8, bool, u16) -> TestResult,
     );
