--- a/crates/core/src/proxy/overload.rs
+++ b/crates/core/src/proxy/overload.rs
@@ -12,8 +12,8 @@
 //! estimate cannot refuse all callers.
 //!
 //! A prompt that takes half of the reduced target to prefill would then be refused at nearly any queue.
-//! With standby capacity for bursts, three quarters of the reduced target are therefore left to the queue,
-//! and only the request's own target has to hold its prefill as well.
+//! With standby capacity for bursts, the reduced target therefore limits the queue alone, and only the
+//! request's own target has to hold its prefill as well.
 
 use std::time::Duration;
 
@@ -21,9 +21,6 @@
 const IN_TIME: f64 = 0.75;
 /// Ratio of the targets of two levels of urgency that follow each other.
 const LEVEL_RATIO: f64 = 0.75;
-/// Share of a reduced target that is left to the queue, however long the request's own prefill takes, if its
-/// route's target holds both.
-const QUEUE_SHARE: f64 = 0.75;
 /// Share of the target of queued work up to which a runner gets every request.
 const SHORT_QUEUE: f64 = 0.25;
 
@@ -71,7 +68,7 @@
     pub struct Patience {
         /// Time from its arrival within which the first event is in time.
         pub target: Duration,
-        /// Target of its route, if that has to hold its own prefill and most of `target` is for the queue;
+        /// Target of its route, which has to hold its own prefill, if `target` limits the queue alone;
         /// `None` if `target` has to hold both.
         pub own_target: Option<Duration>,
         /// Time since its arrival.
@@ -88,10 +85,7 @@
         let left = |target: Duration, needed| target.mul_f64(IN_TIME).saturating_sub(self.waited + needed);
         let left = match self.own_target {
             None => left(self.target, prefill),
-            Some(own_target) => {
-                let queue_share = left(self.target.mul_f64(QUEUE_SHARE), Duration::ZERO);
-                left(own_target, prefill).min(left(self.target, prefill).max(queue_share))
-            }
+            Some(own_target) => left(own_target, prefill).min(left(self.target, Duration::ZERO)),
         };
         queued <= left.max(self.target.mul_f64(SHORT_QUEUE))
     }
