Review: requests given an unwritable connection are never answered

A runner answers a long request before it is in and reads on later. The host returns the connection to its pool while bytes of that request wait to be written, and the next request that takes it waits without a time limit.

--- a/review/platform/standin/src/main.rs
+++ b/review/platform/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! this process and the hosts as processes of their own, and writes to RECORD what was sent, answered and run.
 //! It ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod early_answer;
 mod host;
 mod http;
 mod json;
@@ -40,6 +41,7 @@
     let record = std::sync::Arc::new(record::Record::new());
     record.note(format!("case {case}, with the disruption: {}", setup.trouble));
     let verdict = match case.as_str() {
+        "early-answer" => early_answer::play(&setup, &record),
         "late-refusal" => late_refusal::play(&setup, &record),
         _ => Verdict::CouldNotRun,
     };
