Review: a stopping host ends while a caller still reads an answer

After SIGTERM the host waits for requests in flight, but a buffered answer no longer counts once it is handed to its connection.

--- a/review/platform/standin/src/main.rs
+++ b/review/platform/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod late_refusal;
 mod record;
+mod slow_reader;
 mod store;
 
 use std::path::PathBuf;
@@ -42,6 +43,7 @@
     record.note(format!("case {case}, with the disruption: {}", setup.trouble));
     let verdict = match case.as_str() {
         "early-answer" => early_answer::play(&setup, &record),
+        "slow-reader" => slow_reader::play(&setup, &record),
         "late-refusal" => late_refusal::play(&setup, &record),
         _ => Verdict::CouldNotRun,
     };
