--- a/review/platform/standin/src/early_answer.rs
+++ b/review/platform/standin/src/early_answer.rs
@@ -1,7 +1,7 @@
 //! CONFIG: requests that are given a connection whose runner has answered a long request early are never answered.
 //!
 //! The runners are sound but for that: in episodes of five seconds, one of the two rejects long requests before these
-//! are in, keeps the connection, and reads on five seconds later. These are fewer than 0.02 of its answers.
+//! are in, keeps the connection, and reads on seven seconds later. These are fewer than 0.02 of its answers.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -16,14 +16,14 @@
 use crate::{Setup, Verdict};
 
 /// Time for which the clients send, and the episodes of the disruption in it.
-const PLAY_TIME: Duration = Duration::from_secs(30);
+const PLAY_TIME: Duration = Duration::from_secs(48);
 const EPISODE: Duration = Duration::from_secs(5);
 const EPISODE_INTERVAL: Duration = Duration::from_secs(6);
 /// At most one in so many answers of the runner is early.
 const ANSWERS_FOR_ONE_EARLY: u64 = 50;
 const WORK: Duration = Duration::from_millis(15);
 /// Time after an early answer at which a runner reads on.
-const READ_ON_AFTER: Duration = Duration::from_secs(5);
+const READ_ON_AFTER: Duration = Duration::from_secs(7);
 /// From this size on a request is long; within the limit of the configuration.
 const LONG_BODY: usize = 1_000_000;
 const BODY: usize = 4_000_000;
--- a/review/platform/standin/src/late_refusal.rs
+++ b/review/platform/standin/src/late_refusal.rs
@@ -1,14 +1,14 @@
 //! REFUSED: a runner's second copy of a refusal arrives late, where the answer to the next request is due.
 //!
 //! The runners are sound but for that: they have slots, a queue, and a refusal with `X-Not-Executed` when both are
-//! full. While the disruption lasts, one of two runners sends a second copy of fewer than 0.03 of its answers, all
-//! of them refusals, at the point where the next response on the connection is expected. Each answer names its
-//! request. The clients come in groups, so that the runners are full at times, and retry once after a promise.
+//! full. While the disruption lasts, one of two runners sends a second copy of each 34th of its answers, fewer than
+//! 0.03, at the point where the next response on the connection is expected. Each answer names its request. The
+//! clients come in groups, so that the runners are full at times, and retry once after a promise.
 
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,20 +21,24 @@
 const SLOTS: usize = 6;
 const QUEUE: usize = 24;
 const WORK: Duration = Duration::from_millis(15);
-/// Length of the disruption.
-const TROUBLE_TIME: Duration = Duration::from_secs(5);
+/// Time for which the clients send, and the episodes of the disruption in it.
+const PLAY_TIME: Duration = Duration::from_secs(24);
+const EPISODE: Duration = Duration::from_secs(5);
+const EPISODE_INTERVAL: Duration = Duration::from_secs(8);
+/// Longest wait before a client's retry: a third of its time.
+const MAX_RETRY_AFTER: f64 = 0.2;
 /// Clients, and the time after which they send again, each one request.
 const CLIENTS: usize = 72;
 const GROUP_INTERVAL: Duration = Duration::from_millis(250);
-/// At most one in so many answers is repeated: less than 0.03 of them.
+/// One in so many answers is repeated: less than 0.03 of them.
 const ANSWERS_FOR_ONE_EXTRA: u64 = 34;
 
 struct Runner {
     id: String,
     address: SocketAddr,
     record: Arc<Record>,
-    /// Whether it repeats answers now.
-    repeats: AtomicBool,
+    /// When the first episode began.
+    episodes: Mutex<Option<Instant>>,
     /// Requests that wait or run.
     present: AtomicUsize,
     running: Mutex<usize>,
@@ -51,7 +55,7 @@
             id: id.to_string(),
             address: listener.local_addr().expect("an address"),
             record: record.clone(),
-            repeats: AtomicBool::new(false),
+            episodes: Mutex::default(),
             present: AtomicUsize::new(0),
             running: Mutex::new(0),
             freed: Condvar::new(),
@@ -75,11 +79,19 @@
         )
     }
 
+    /// Whether it repeats answers now.
+    fn repeats(&self) -> bool {
+        let episodes = *self.episodes.lock().expect("not poisoned");
+        episodes.is_some_and(|began| {
+            began.elapsed().as_millis() % EPISODE_INTERVAL.as_millis() < EPISODE.as_millis()
+        })
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().expect("a socket");
         let mut reader = BufReader::new(stream);
-        // Refusal whose copy is still to come on this connection.
+        // Answer whose copy is still to come on this connection.
         let mut copy: Option<(String, String)> = None;
         while let Some(request) = read_message(&mut reader, false) {
             let id = request.header("x-request-id").unwrap_or("").to_string();
@@ -92,14 +104,23 @@
                     return;
                 }
             }
-            let answer = self.answer(&request, &id, &mut copy);
+            let answer = self.answer(&request, &id);
+            let number = match self.repeats() {
+                true => self.answers.fetch_add(1, Ordering::SeqCst) + 1,
+                false => 0,
+            };
+            // Each 34th answer, whatever it says.
+            if number > 0 && number.is_multiple_of(ANSWERS_FOR_ONE_EXTRA) {
+                self.extras.fetch_add(1, Ordering::SeqCst);
+                copy = Some((id.clone(), answer.clone()));
+            }
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &Message, id: &str, copy: &mut Option<(String, String)>) -> String {
+    fn answer(&self, request: &Message, id: &str) -> String {
         if request.path().starts_with("/health") {
             return format!(
                 "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
@@ -113,22 +134,11 @@
         {
             return format!("HTTP/1.1 421 x\r\n{head}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         }
-        let repeats = self.repeats.load(Ordering::SeqCst);
-        if repeats {
-            self.answers.fetch_add(1, Ordering::SeqCst);
-        }
         if self.present.fetch_add(1, Ordering::SeqCst) >= SLOTS + QUEUE {
             self.present.fetch_sub(1, Ordering::SeqCst);
             self.record
                 .note(format!("{} is full and does not run {id}", self.id));
-            let answer = format!("HTTP/1.1 503 x\r\n{head}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-            let (answers, extras) = (&self.answers, &self.extras);
-            let due = answers.load(Ordering::SeqCst) / ANSWERS_FOR_ONE_EXTRA;
-            if repeats && extras.load(Ordering::SeqCst) < due {
-                extras.fetch_add(1, Ordering::SeqCst);
-                *copy = Some((id.to_string(), answer.clone()));
-            }
-            return answer;
+            return format!("HTTP/1.1 503 x\r\n{head}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         }
         let mut running = self.running.lock().expect("not poisoned");
         while *running >= SLOTS {
@@ -159,13 +169,19 @@
 }
 
 /// A client that sends one posting after the other on one connection.
-fn call(record: &Record, client: &mut Option<Client>, address: SocketAddr, id: &str, entry: &str) -> u16 {
+fn call(
+    record: &Record,
+    client: &mut Option<Client>,
+    address: SocketAddr,
+    id: &str,
+    entry: &str,
+) -> (u16, f64) {
     if client.is_none() {
         *client = Client::connect(address, Duration::from_secs(2));
     }
     let Some(connection) = client.as_mut() else {
         record.answer(id, 0, "(no connection)");
-        return 0;
+        return (0, 0.0);
     };
     let body = format!("entry {entry}");
     record.note(format!("request {id} sent"));
@@ -182,10 +198,14 @@
         .as_ref()
         .and_then(|response| response.header("x-response-signature"));
     record.answer(id, status, signature.unwrap_or("without a signature"));
+    let retry_after = response
+        .as_ref()
+        .and_then(|response| response.header("retry-after"));
+    let retry_after = retry_after.and_then(|text| text.parse().ok()).unwrap_or(0.0);
     if response.is_none_or(|response| response.closes() || !response.whole) {
         *client = None;
     }
-    status
+    (status, retry_after)
 }
 
 pub fn play(setup: &Setup, record: &Arc<Record>) -> Verdict {
@@ -209,8 +229,10 @@
         return Verdict::CouldNotRun;
     }
     record.note("the host is ready");
-    runners[0].repeats.store(setup.trouble, Ordering::SeqCst);
     let began = Instant::now();
+    if setup.trouble {
+        *runners[0].episodes.lock().expect("not poisoned") = Some(began);
+    }
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (record, address) = (record.clone(), host.listen);
@@ -219,15 +241,16 @@
                 // The clients come together, one time after the other.
                 for number in 0.. {
                     let at = GROUP_INTERVAL * number;
-                    if at >= TROUBLE_TIME {
+                    if at >= PLAY_TIME {
                         return;
                     }
                     std::thread::sleep(at.saturating_sub(began.elapsed()));
                     let entry = format!("c{client:02}n{number:02}");
-                    if call(&record, &mut connection, address, &entry, &entry) == 503 {
+                    let (status, retry_after) = call(&record, &mut connection, address, &entry, &entry);
+                    if status == 503 {
                         // The promise lets the client retry, on a new connection.
                         let mut other = None;
-                        std::thread::sleep(Duration::from_millis(50));
+                        std::thread::sleep(Duration::from_secs_f64(retry_after.clamp(0.0, MAX_RETRY_AFTER)));
                         call(&record, &mut other, address, &format!("{entry}r"), &entry);
                     }
                 }
@@ -237,7 +260,6 @@
     for client in clients {
         let _ = client.join();
     }
-    runners[0].repeats.store(false, Ordering::SeqCst);
     std::thread::sleep(Duration::from_millis(500));
     for runner in &runners {
         record.note(format!(
