--- a/review/platform/standin/src/slow_reader.rs
+++ b/review/platform/standin/src/slow_reader.rs
@@ -14,8 +14,8 @@
 use crate::{Setup, Verdict};
 
 /// Size of an answer, and how fast the clients read it: in less than six seconds.
-const ANSWER: usize = 12_000_000;
-const BYTES_PER_S: u64 = 2_100_000;
+const ANSWER: usize = 15_000_000;
+const BYTES_PER_S: u64 = 2_600_000;
 const CLIENTS: usize = 1;
 const GRACE: Duration = Duration::from_secs(8);
 
