Read an answer's request id before anything else of it

What callers saw: postings that were answered 503 ("not run, and never will be") and had run; a caller that repeated one had its entry twice. With two attempts on the route, the host itself ran a posting at two runners.

Cause: check_response took a response with "not run", or with status 421, for the answer to the request at hand before it compared the request's id. A runner may send a second copy of an earlier refusal where the next answer is due. In the same way, what the runner says about itself in such an answer (shuts down, limit, wait) was recorded, its time counted as a sign of life, and its connection returned to the pool. The own front recorded what a plain service or an engine says about itself before the id was known.

Change: the id is compared first. Of an answer with another id or none, nothing is used, the request counts as possibly run, and the connection is closed. The own front tells the kernel of notices once the answer is known to be its own.

--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -29,7 +29,7 @@
 use crate::peers::dialer::Dialer;
 use crate::upstream::attempts;
 use crate::upstream::pool::Pool;
-use crate::upstream::{self, Exchange, Failure, RunnerRequest, notify_of_notices};
+use crate::upstream::{self, Exchange, Failure, Notices, RunnerRequest};
 
 mod answer;
 mod guard;
@@ -434,7 +434,6 @@
             Failure::NotSent => (failure, Kind::NoRunner.into()),
             Failure::MaybeSent => (failure, Kind::UpstreamBroken.into()),
         })?;
-        notify_of_notices(&self.handle, &assignment.name, &answer);
         let returned_id = answer
             .headers()
             .get(http::REQUEST_ID)
@@ -442,6 +441,7 @@
         if returned_id != Some(runner_request.id.as_str()) {
             return Err((Failure::MaybeSent, Kind::UpstreamCrossed.into()));
         }
+        Notices::of(&answer).notify(&self.handle, &assignment.name);
         let status = answer.status().as_u16();
         let body = Limited::new(answer.into_body(), MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|_| (Failure::MaybeSent, Kind::UpstreamBroken.into()))?;
--- a/crates/entry/src/front/chat/job.rs
+++ b/crates/entry/src/front/chat/job.rs
@@ -25,7 +25,7 @@
 use crate::metrics::ClassLabel;
 use crate::upstream::attempts::{self, AttemptError, Attempts};
 use crate::upstream::pool::Pool;
-use crate::upstream::{self, Exchange, Failure, ResponseConnection, RunnerRequest, notify_of_notices};
+use crate::upstream::{self, Exchange, Failure, Notices, ResponseConnection, RunnerRequest};
 
 /// Attempts at runners for one request.
 const MAX_ATTEMPTS: u32 = 3;
@@ -247,13 +247,16 @@
             Failure::NotSent => Kind::NoRunner,
             Failure::MaybeSent => Kind::UpstreamBroken,
         })?;
-        notify_of_notices(&self.handle, &assignment.name, &answer);
+        let notices = Notices::of(&answer);
         if answer.status() != hyper::StatusCode::OK {
+            // Only events name the request that they answer.
+            notices.notify(&self.handle, &assignment.name);
             let detail = format!("the runner answered {}", answer.status());
             return Err(Refusal::new(Kind::UpstreamBroken).detail(detail).into());
         }
         let mut body = answer.into_body();
-        self.relay(assignment, &mut body, progress, parts).await?;
+        self.relay(assignment, &mut body, notices, progress, parts)
+            .await?;
         self.return_connection(body, connection).await;
         Ok(())
     }
@@ -269,9 +272,11 @@
         &self,
         assignment: &Assignment,
         body: &mut Incoming,
+        notices: Notices,
         progress: &mut Progress,
         parts: &PartSender,
     ) -> Result<(), Abort> {
+        let mut notices = Some(notices);
         let mut splitter = Splitter::default();
         let mut finished = false;
         loop {
@@ -297,6 +302,9 @@
                 let Some(chunk) = self.parse_chunk(&event) else {
                     return Err(Kind::UpstreamCrossed.into());
                 };
+                if let Some(notices) = notices.take() {
+                    notices.notify(&self.handle, &assignment.name);
+                }
                 finished |= chunk.finished;
                 if !self.handle.view.load().is_key_valid(&self.key) {
                     return Err(Kind::KeyWithdrawn.into());
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -320,6 +320,10 @@
     }
 
     /// Classifies a response by its head.
+    ///
+    /// Nothing of a response that names another request is used: not its status, not what the runner says in it
+    /// about itself, nor the time at which it was read, as it may have been sent much earlier. The connection of
+    /// such a response is closed.
     async fn check_response(
         &self,
         job: &Job,
@@ -327,45 +331,25 @@
         exchange: Exchange,
     ) -> Result<RunnerResponse, AttemptError> {
         let now = self.shared.now();
-        slot.record_response(now);
         let (response, connection) = exchange.split();
         let (parts, body) = response.into_parts();
         let provenance = self.shared.adapter.parse_response(&parts);
+        if provenance.request_id.as_deref() != Some(job.metadata.id.as_str()) {
+            return Err(reject_answer(job, &slot, &parts, &provenance));
+        }
+        slot.record_response(now);
         let answer = answer_kind(&parts, &provenance);
         slot.record_notices(now, job, answer, &provenance.notices);
         if provenance.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
-            let (attempt, fault) = match parts.status {
-                StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
-                _ => (AttemptResult::Full, Fault::NotRun),
-            };
-            // A runner that has no copy may have room for other requests.
-            if slot.continue_from.is_none() || attempt == AttemptResult::Replaced {
-                slot.record_attempt(attempt);
-            }
-            tracing::info!(
-                event = "runner-refused",
-                request = job.metadata.id,
-                runner = slot.id,
-                status = parts.status.as_u16(),
-                wait_ms = provenance.notices.hold_off.wait_ms()
-            );
+            let fault = self.record_refusal(job, &slot, &parts, &provenance);
             let drained = timeout(DRAIN_TIMEOUT, Limited::new(body, 64 * 1024).collect()).await;
             if matches!(drained, Ok(Ok(_))) {
                 self.return_connection(&slot, connection);
             }
             return Err(AttemptError::Failed(fault));
         }
-        if !is_response_to(job, &parts, &provenance) {
-            slot.record_attempt(AttemptResult::Broken);
-            tracing::warn!(
-                event = "answer-not-own",
-                request = job.metadata.id,
-                runner = slot.id,
-                status = parts.status.as_u16(),
-                answers = provenance.request_id,
-                signed = provenance.signed
-            );
-            return Err(AttemptError::Failed(Fault::MayHaveRun));
+        if !is_usable(&parts, &provenance) {
+            return Err(reject_answer(job, &slot, &parts, &provenance));
         }
         Ok(RunnerResponse {
             slot,
@@ -376,6 +360,32 @@
         })
     }
 
+    /// Records that a runner has refused a request without running it.
+    fn record_refusal(
+        &self,
+        job: &Job,
+        slot: &Slot,
+        parts: &response::Parts,
+        provenance: &Provenance,
+    ) -> Fault {
+        let (attempt, fault) = match parts.status {
+            StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
+            _ => (AttemptResult::Full, Fault::NotRun),
+        };
+        // A runner that has no copy may have room for other requests.
+        if slot.continue_from.is_none() || attempt == AttemptResult::Replaced {
+            slot.record_attempt(attempt);
+        }
+        tracing::info!(
+            event = "runner-refused",
+            request = job.metadata.id,
+            runner = slot.id,
+            status = parts.status.as_u16(),
+            wait_ms = provenance.notices.hold_off.wait_ms()
+        );
+        fault
+    }
+
     /// Reads a buffered response to its end; `None` if that fails.
     pub(super) async fn read_response(
         &self,
@@ -514,14 +524,27 @@
     }
 }
 
-/// Whether a response is the runner's response to this request.
+/// Rejects an answer that names another request, or that a caller cannot use.
+///
+/// A surplus response may arrive late, in place of the next request's. The request was sent, so it may have run.
+fn reject_answer(job: &Job, slot: &Slot, parts: &response::Parts, provenance: &Provenance) -> AttemptError {
+    slot.record_attempt(AttemptResult::Broken);
+    tracing::warn!(
+        event = "answer-not-own",
+        request = job.metadata.id,
+        runner = slot.id,
+        status = parts.status.as_u16(),
+        answers = provenance.request_id,
+        signed = provenance.signed
+    );
+    AttemptError::Failed(Fault::MayHaveRun)
+}
+
+/// Whether a response to this request may be forwarded.
 ///
-/// A surplus response may arrive late, in place of the next request's. If it were
-/// forwarded, the caller would receive another caller's data. Statuses that
-/// promise "not run" are not accepted without the runner's own statement of it.
-fn is_response_to(job: &Job, parts: &response::Parts, provenance: &Provenance) -> bool {
+/// Statuses that promise "not run" are not accepted without the runner's own statement of it.
+fn is_usable(parts: &response::Parts, provenance: &Provenance) -> bool {
     let promises_not_run = matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
-    let is_same_id = provenance.request_id.as_deref() == Some(job.metadata.id.as_str());
     let is_encoded = parts.headers.contains_key(CONTENT_ENCODING);
-    is_same_id && provenance.signed && !promises_not_run && !is_encoded
+    provenance.signed && !promises_not_run && !is_encoded
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -167,21 +167,38 @@
         .map_err(|_| Failure::NotSent)
 }
 
-/// Tells the kernel what a runner says about itself in an answer.
-pub fn notify_of_notices(handle: &Handle, runner: &str, answer: &Response<Incoming>) {
-    if answer.headers().contains_key(http::LEAVING) {
-        handle.notify(Event::RunnerLeaving(runner.to_string()));
+/// What a runner says about itself in the head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Notices {
+    is_leaving: bool,
+    hold_off: Notice,
+}
+
+impl Notices {
+    /// Reads the head of an answer.
+    pub fn of(answer: &Response<Incoming>) -> Self {
+        Self {
+            is_leaving: answer.headers().contains_key(http::LEAVING),
+            hold_off: hold_off::notice(answer.status(), answer.headers()),
+        }
     }
-    match hold_off::notice(answer.status(), answer.headers()) {
-        Notice::For(wait) => {
-            tracing::info!(
-                event = "runner-hold-off",
-                runner,
-                wait_ms = Notice::For(wait).wait_ms()
-            );
-            handle.notify(Event::RunnerHoldOff(runner.to_string(), wait));
+
+    /// Tells the kernel of them. The answer must be known to be the one to this host's request.
+    pub fn notify(self, handle: &Handle, runner: &str) {
+        if self.is_leaving {
+            handle.notify(Event::RunnerLeaving(runner.to_string()));
+        }
+        match self.hold_off {
+            Notice::For(wait) => {
+                tracing::info!(
+                    event = "runner-hold-off",
+                    runner,
+                    wait_ms = Notice::For(wait).wait_ms()
+                );
+                handle.notify(Event::RunnerHoldOff(runner.to_string(), wait));
+            }
+            Notice::Malformed => tracing::debug!(event = "runner-hold-off-malformed", runner),
+            Notice::Absent => {}
         }
-        Notice::Malformed => tracing::debug!(event = "runner-hold-off-malformed", runner),
-        Notice::Absent => {}
     }
 }
--- a/tests/suite/live.rs
+++ b/tests/suite/live.rs
@@ -254,6 +254,29 @@
     );
 }
 
+/// Guards against sound runners that get no more requests, as answers to other requests said that they leave.
+#[test]
+fn crossed_answers_say_nothing_about_their_runners() {
+    let cluster = cluster().start();
+    let caller = cluster.caller();
+    let send = |posting| {
+        let chat = cluster.chat_body("crossed", 10);
+        let chat = caller.chat(cluster.entry_address(0), "chat", &chat);
+        let tickets = caller.tickets(cluster.entry_address(0), 1);
+        let ticket = tickets.expect("a ticket").remove(0);
+        (chat, cluster.send_posting(&caller, 0, posting, &ticket))
+    };
+    let runners = [cluster.addresses.engines.as_slice(), &cluster.addresses.plain].concat();
+    cluster.inject_fault(&runners, &json!({ "cross": 100, "leaving": true }));
+    let (chat, posting) = send(30);
+    assert_ne!(chat.status, 200, "{chat:?}");
+    assert_eq!(posting.kind(), "upstream-crossed", "{posting:?}");
+    cluster.inject_fault(&runners, &json!({}));
+    let (chat, posting) = send(31);
+    assert!(chat.done, "{chat:?}");
+    assert_eq!(posting.status, 200, "{posting:?}");
+}
+
 /// A key is withdrawn while its caller reads a stream. The stream must end with
 /// an error within seconds, further requests with the key are refused, and the
 /// key of the other customer still works.
