Register versions before streams begin, and never take the present for the past

What callers could see: a stream whose first part is from one software version, or service, and the rest from another, although the answer looks complete.

Cause: without memory of a stream, a host took what it saw at the moment for what had been when the stream began: the one listed version if the caller named no attempt, its first list after a start, the service drawn on a split route, the present service of a route that had moved, the present timeout; and a take-up on a route that no longer allows them was placed like a new stream.

Change: versions are registered in the store before a stream begins at one of them, and removed when no stream of them can be left. A take-up that no host remembers goes by the register, read for it, or by this host's own watch of the list over the stream's life, and only if the route and those that overlap it have not changed their services since. State::configure takes the time.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -55,6 +55,7 @@
 
 use budget::Budgets;
 use crash::Crashes;
+use fleet::software::Version;
 use fleet::{Fleet, Key, Listed};
 use freshness::Freshness;
 use gossip::summary::Announced;
@@ -142,6 +143,8 @@
     pub prefixes: Index,
     /// Software versions that began streams.
     pub origins: Origins,
+    /// Changes to routes, as far as streams may have begun before them.
+    route_history: origin::routes::History,
     /// Crashes of runners, and parts of prompts that cause them.
     pub crashes: Crashes,
     /// Load that other hosts put on runners.
@@ -180,6 +183,7 @@
             relays: Relays::default(),
             prefixes: Index::default(),
             origins: Origins::default(),
+            route_history: origin::routes::History::default(),
             crashes: Crashes::default(),
             peers: Peers::default(),
             latencies: Services::default(),
@@ -199,13 +203,13 @@
     ///
     /// Reads may complete out of order. Without this check, a slow answer would bring back an
     /// older document with its routes and keys.
-    pub fn configure(&mut self, table: Table) -> bool {
-        if self
-            .table
-            .as_ref()
-            .is_some_and(|have| have.revision >= table.revision)
-        {
-            return false;
+    pub fn configure(&mut self, now: Moment, table: Table) -> bool {
+        if let Some(former) = &self.table {
+            if former.revision >= table.revision {
+                return false;
+            }
+            let overlap = Duration::from_millis(self.bounds.revocation_ms.max(self.bounds.configuration_ms));
+            self.route_history.record(now, overlap, former, &table);
         }
         let services = table.services().iter();
         let cold_starts = services.filter_map(|service| Some((service.name.as_str(), service.cold_start?)));
@@ -317,6 +321,39 @@
         })
     }
 
+    /// Services at whose runners streams begin that callers may take up.
+    pub fn stream_services(&self) -> Vec<&str> {
+        let routes = self.table.iter().flat_map(|table| table.routes());
+        let streams = routes.filter(|route| route.is_stream());
+        let shares = streams.flat_map(|route| route.shares.iter());
+        let mut services: Vec<&str> = shares.map(|share| share.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    /// The only version that can have begun the stream which a request of `arrived` takes up, if there is just one;
+    /// needs no memory of the stream.
+    pub fn only_origin(
+        &self,
+        now: Moment,
+        unix_ms: u64,
+        arrived: Moment,
+        admission: &Admission,
+    ) -> Option<Version> {
+        let (route, service) = (&admission.route, &admission.service);
+        // A split route may have begun it at any of its services.
+        let is_split = route.shares.len() > 1;
+        if is_split || !self.route_history.has_only_present_services(now, &route.name) {
+            return None;
+        }
+        let since = now.saturating_sub(origin::life(route.timeout));
+        let is_life_known = self.route_history.has_only_present_timeout(now, &route.name);
+        let watched = || self.fleet.only_version_between(since, arrived, service);
+        let registered = self.fleet.only_registered(unix_ms, arrived, service);
+        registered.or_else(|| is_life_known.then(watched).flatten())
+    }
+
     /// Checks whether an admitted request may still be forwarded; called right before the write
     /// to the runner.
     ///
--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -18,6 +18,7 @@
 pub mod leaving;
 pub mod notice;
 pub mod rate;
+pub mod register;
 mod runner;
 pub mod software;
 mod stall;
@@ -75,6 +76,10 @@
     brittle: brittle::Brittle,
     /// This host among those that share the runners of these services.
     place: brittle::Place,
+    /// Versions at which streams may begin.
+    register: register::Register,
+    /// When the call was sent by which it was read last.
+    register_read: Option<Moment>,
 }
 
 impl Fleet {
@@ -98,6 +103,8 @@
             peer_hold_offs: holdoff::Peers::default(),
             brittle: brittle::Brittle::default(),
             place: brittle::Place::default(),
+            register: register::Register::default(),
+            register_read: None,
         }
     }
 
@@ -177,6 +184,9 @@
             runner.cold.read_entry(sent, item.cold_for);
         }
         runner.listed = item;
+        runner.is_registered = self
+            .register
+            .allows(&runner.listed.service, runner.listed.software.version);
         if is_same_process && is_same_version {
             return Vec::new();
         }
@@ -208,6 +218,7 @@
             belief: software::Belief::default(),
             cold: cold::State::of_entry(first_seen, listed.cold_for),
             evacuated: self.is_evacuated(&listed.zone),
+            is_registered: self.register.allows(&listed.service, listed.software.version),
             listed,
             hash,
             local_load: Load::default(),
--- /dev/null
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -0,0 +1,166 @@
+//! Register of the software versions that may have begun streams, as it stands in the platform's store.
+//!
+//! All hosts may be killed at once, and with them all memory of the versions that have served. So a stream begins at a
+//! version only once the register has it, and the register keeps a version for as long as a stream of it may be taken
+//! up. A host that has read the register after a stream broke off knows all versions that can have begun it, even if it
+//! has just started.
+//!
+//! A service without a row is not restricted, and nothing is known of its versions. A row that is added later covers
+//! the streams that began before it only from a certain time on.
+
+use std::time::Duration;
+
+use serde_with::serde_as;
+
+use super::software::Version;
+use super::{Fleet, Runner};
+use crate::proxy::origin;
+use crate::time::Moment;
+use crate::units::Hex64;
+
+/// Time for which a version stays registered after its last runner has left: no stream lives longer.
+const RETENTION: Duration = origin::MAX_LIFE;
+/// Time after which all hosts have read a new row, and have registered what they used before.
+const SPREAD: Duration = Duration::from_secs(4);
+
+record! {
+    /// Versions of one service.
+    #[serde_as]
+    pub struct Row {
+        /// Name of the service.
+        pub service: String,
+        /// Versions, sorted.
+        #[serde_as(as = "Vec<Hex64>")]
+        pub versions: Vec<u64>,
+        /// From when on, in Unix milliseconds, the row has all versions of streams that may be taken up.
+        pub complete_ms: u64,
+    }
+}
+
+record! {
+    /// Versions of all services.
+    #[derive(Default)]
+    pub struct Register {
+        /// Rows, sorted by service.
+        pub rows: Vec<Row>,
+    }
+}
+
+impl Register {
+    fn position(&self, service: &str) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| row.service.as_str().cmp(service))
+    }
+
+    fn row(&self, service: &str) -> Option<&Row> {
+        Some(&self.rows[self.position(service).ok()?])
+    }
+
+    /// Whether streams may begin at a version of a service.
+    pub(super) fn allows(&self, service: &str, version: Version) -> bool {
+        let has = |row: &Row| row.versions.binary_search(&version.0).is_ok();
+        self.row(service).is_none_or(has)
+    }
+}
+
+impl Fleet {
+    /// Applies the register in the store, as read by a call that was sent at `sent`. Rows that are not sorted are left
+    /// out, and so is a register that is older than the known one.
+    pub fn read_register(&mut self, sent: Moment, mut register: Register) {
+        if self.register_read.is_some_and(|read| !sent.reached(read)) {
+            return;
+        }
+        self.register_read = Some(sent);
+        register.rows.retain(|row| row.versions.is_sorted());
+        register
+            .rows
+            .sort_by(|one, other| one.service.cmp(&other.service));
+        register.rows.dedup_by(|one, other| one.service == other.service);
+        if register == self.register {
+            return;
+        }
+        self.register = register;
+        for runner in &mut self.arena {
+            let software = &runner.listed.software;
+            runner.is_registered = self.register.allows(&runner.listed.service, software.version);
+        }
+    }
+
+    /// The register as it should be for these services, if it is not: a version that a runner has is added, and one that
+    /// no runner has had for long is removed. `is_first_start`: no stream can have begun before this host's start.
+    pub fn next_register(
+        &self,
+        now: Moment,
+        unix_ms: u64,
+        is_first_start: bool,
+        services: &[&str],
+    ) -> Option<Register> {
+        let mut next = self.register.clone();
+        for service in services {
+            match next.position(service) {
+                Ok(at) => self.update_row(now, &mut next.rows[at]),
+                Err(at) => {
+                    let row = self.new_row(now, unix_ms, is_first_start, service);
+                    next.rows.splice(at..at, row);
+                }
+            }
+        }
+        (next != self.register).then_some(next)
+    }
+
+    fn new_row(&self, now: Moment, unix_ms: u64, is_first_start: bool, service: &str) -> Option<Row> {
+        let versions = self.versions_since(now.saturating_sub(RETENTION), service);
+        let former_streams = if is_first_start { Duration::ZERO } else { RETENTION };
+        let complete_after = SPREAD + former_streams;
+        (!versions.is_empty()).then(|| Row {
+            service: service.to_string(),
+            versions,
+            complete_ms: unix_ms + complete_after.as_millis() as u64,
+        })
+    }
+
+    fn update_row(&self, now: Moment, row: &mut Row) {
+        let since = now.saturating_sub(RETENTION);
+        let is_watched = self.watched_since.is_some_and(|from| since.reached(from));
+        let served = self.versions_since(since, &row.service);
+        if is_watched && !served.is_empty() {
+            row.versions
+                .retain(|version| served.binary_search(version).is_ok());
+        }
+        row.versions.extend(self.versions_since(now, &row.service));
+        row.versions.sort_unstable();
+        row.versions.dedup();
+    }
+
+    /// Versions of the runners of a service that were listed at some time since then, sorted.
+    fn versions_since(&self, since: Moment, service: &str) -> Vec<u64> {
+        let runners = self.served_since(since, service);
+        let mut versions: Vec<u64> = runners.map(|runner| runner.listed.software.version.0).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    /// Whether the register was read by a call that was sent at that time or later.
+    pub fn is_register_read(&self, since: Moment) -> bool {
+        self.register_read.is_some_and(|read| read.reached(since))
+    }
+
+    /// The only version of a service that can have begun a stream before `until`, according to the register as it was
+    /// read after that.
+    pub fn only_registered(&self, unix_ms: u64, until: Moment, service: &str) -> Option<Version> {
+        let row = self.register.row(service)?;
+        let is_complete = unix_ms >= row.complete_ms;
+        match row.versions[..] {
+            [version] if is_complete && self.is_register_read(until) => Some(Version(version)),
+            _ => None,
+        }
+    }
+}
+
+impl Runner {
+    /// Whether a stream may begin at it.
+    pub fn may_begin(&self) -> bool {
+        self.is_registered
+    }
+}
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -231,6 +231,8 @@
         pub(super) stalled_at: Option<Moment>,
         /// Whether its entry tells the software of its process.
         pub(super) belief: Belief,
+        /// Whether streams may begin at its version.
+        pub(super) is_registered: bool,
         /// Its cold start.
         pub(super) cold: cold::State,
         /// Whether the operator has evacuated its zone.
--- a/crates/core/src/proxy/fleet/software.rs
+++ b/crates/core/src/proxy/fleet/software.rs
@@ -159,7 +159,7 @@
     }
 
     /// Runners of a service that were listed at some time since then.
-    fn served_since(&self, since: Moment, service: &str) -> impl Iterator<Item = &Runner> {
+    pub(super) fn served_since(&self, since: Moment, service: &str) -> impl Iterator<Item = &Runner> {
         self.arena.iter().filter(move |runner| {
             let was_present = runner.gone_at.is_none_or(|gone_at| gone_at.reached(since));
             runner.listed.service == service && was_present
@@ -181,12 +181,6 @@
         runners.any(|runner| runner.is_listed(now) || runner.gone_at.is_some_and(was_present))
     }
 
-    /// The version of a service's runners, if all those that are listed now run the same.
-    pub fn only_version(&self, now: Moment, service: &str) -> Option<Version> {
-        let listed = |runner: &&Runner| runner.listed.service == service && runner.is_present(now);
-        only(self.arena.iter().filter(listed))
-    }
-
     /// The version of a service's runners, if no other one can have begun a stream between `since` and
     /// `until`: this host has read the list all the time and has seen only this one.
     pub fn only_version_between(&self, since: Moment, until: Moment, service: &str) -> Option<Version> {
--- a/crates/core/src/proxy/origin.rs
+++ b/crates/core/src/proxy/origin.rs
@@ -20,6 +20,8 @@
 use super::readers::Host;
 use crate::time::Moment;
 
+pub mod routes;
+
 /// Maximum number of versions that a host remembers.
 const MAX_ENTRIES: usize = 32_768;
 /// Maximum number of records and of questions in a message.
@@ -28,7 +30,7 @@
 const PURGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Limits of the time for which a version is remembered, and that time if the route has no timeout.
 const MIN_LIFE: Duration = Duration::from_secs(10);
-const MAX_LIFE: Duration = Duration::from_secs(600);
+pub(super) const MAX_LIFE: Duration = Duration::from_secs(600);
 const DEFAULT_LIFE: Duration = Duration::from_secs(60);
 /// The same as a multiple of the route's timeout: a caller comes back within the time of its last attempt.
 const LIFE_TIMEOUTS: u32 = 2;
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -138,8 +138,10 @@
 
     /// Whether a runner's software may run it.
     fn allows(&self, now: Moment, runner: &Runner) -> bool {
-        self.version
-            .is_none_or(|version| runner.may_continue(now, version))
+        match self.version {
+            Some(version) => runner.may_continue(now, version),
+            None => runner.may_begin(),
+        }
     }
 
     /// Price of sending it to another zone, in milliseconds of waiting.
--- a/crates/core/src/proxy/route.rs
+++ b/crates/core/src/proxy/route.rs
@@ -70,6 +70,11 @@
 }
 
 impl Route {
+    /// Whether it answers with streams of events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.mode, Mode::Stream { .. })
+    }
+
     /// Whether a service runs any of its requests.
     pub fn uses(&self, service: &str) -> bool {
         self.shares
@@ -282,13 +287,16 @@
         let host = host.to_ascii_lowercase();
         let ends = path.rmatch_indices('/').map(|(at, _)| at);
         let mut prefixes = ends.map(|at| &path[..=at]);
-        prefixes.find_map(|prefix| {
-            let key = (host.as_str(), prefix);
-            let at = self
-                .routes
-                .binary_search_by(|route| (route.host.as_str(), route.path_prefix.as_str()).cmp(&key));
-            at.ok().map(|at| &self.routes[at])
-        })
+        prefixes.find_map(|prefix| self.route_at(&host, prefix))
+    }
+
+    /// Route with this host, in lower case, and this path prefix.
+    pub fn route_at(&self, host: &str, path_prefix: &str) -> Option<&Arc<Route>> {
+        let key = (host, path_prefix);
+        let at = self
+            .routes
+            .binary_search_by(|route| (route.host.as_str(), route.path_prefix.as_str()).cmp(&key));
+        at.ok().map(|at| &self.routes[at])
     }
 
     /// Whether requests on a route need an API key.
@@ -334,7 +342,7 @@
 fn levels(routes: &[Arc<Route>], service: &str) -> Vec<Level> {
     let streams = routes
         .iter()
-        .filter(|route| matches!(route.mode, Mode::Stream { .. }) && route.uses(service));
+        .filter(|route| route.is_stream() && route.uses(service));
     overload::levels(streams.map(|route| (route.priority, route.target_latency)))
 }
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -66,6 +66,7 @@
 pub mod slot;
 pub mod stream;
 pub mod sync;
+pub mod versions;
 
 /// Number of hosts assumed until the first listing, so that a host that has just started takes a
 /// small part of the shared retry budget: all hosts may have started with it.
@@ -100,6 +101,10 @@
     awaits_peers: AtomicBool,
     /// Whether the records of all hosts have been read since the start.
     hosts_known: AtomicBool,
+    /// Whether this host reads the keys from the store, and not from a peer.
+    reads_store: AtomicBool,
+    /// Held while the register of versions is read alone.
+    register_turn: tokio::sync::Mutex<()>,
     /// Routing state: document, runners, load and budgets.
     state: Mutex<State>,
     wall_clock: Mutex<WallClock>,
@@ -191,6 +196,8 @@
             stopping: AtomicBool::new(false),
             awaits_peers: AtomicBool::new(true),
             hosts_known: AtomicBool::new(false),
+            reads_store: AtomicBool::new(false),
+            register_turn: tokio::sync::Mutex::default(),
             state: Mutex::new(state),
             wall_clock: Mutex::new(wall_clock),
             mirror: Mutex::default(),
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -184,7 +184,7 @@
         ..AttemptLog::default()
     };
     if origins::is_take_up(&job) {
-        log.origin = origins::find(&shared, &mut job)
+        log.origin = origins::find(&shared, &forwarder.store, &mut job)
             .await
             .map_err(|refusal| log_refusal(&shared, Some(&job.metadata), refusal))?;
     }
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -28,8 +28,9 @@
 
 mod stored;
 
+use stored::quarantine_key;
+pub(super) use stored::to_json;
 pub(super) use stored::{QUARANTINE_PREFIX, apply, publish};
-use stored::{quarantine_key, to_json};
 
 /// Time that a crashing runner has to close its listener, after its connections.
 const CLOSE_TIME: Duration = Duration::from_millis(20);
--- a/crates/entry/src/proxy/crashes/stored.rs
+++ b/crates/entry/src/proxy/crashes/stored.rs
@@ -206,6 +206,6 @@
 }
 
 /// Strings and numbers always serialize to JSON.
-pub(super) fn to_json(value: &impl serde::Serialize) -> String {
+pub(in super::super) fn to_json(value: &impl serde::Serialize) -> String {
     serde_json::to_string(value).unwrap_or_default()
 }
--- a/crates/entry/src/proxy/document.rs
+++ b/crates/entry/src/proxy/document.rs
@@ -203,7 +203,7 @@
         }
     };
     let version = table.version;
-    if !shared.state().configure(table) {
+    if !shared.state().configure(shared.now(), table) {
         return;
     }
     shared.metrics.configuration_version.set(version as i64);
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -442,9 +442,9 @@
     /// Whether the runner still takes the request, and has the version that began the stream.
     fn may_use(&self, now: Moment, slot: &Slot, origin: Origin) -> bool {
         let state = self.shared.state();
-        let is_of_version = |runner: &Runner| {
-            let fits = |version| runner.known_version() == Some(version);
-            origin.version().is_none_or(fits)
+        let is_of_version = |runner: &Runner| match origin.version() {
+            Some(version) => runner.known_version() == Some(version),
+            None => runner.may_begin(),
         };
         state.fleet.get(slot.key).is_some_and(is_of_version)
             && state.fleet.may_send(now, slot.key, slot.placed_at)
--- a/crates/entry/src/proxy/origins.rs
+++ b/crates/entry/src/proxy/origins.rs
@@ -1,5 +1,6 @@
 //! The software versions that began streams: told to other hosts, and asked of them.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,13 +12,14 @@
 use radishstair_core::time::Moment;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout};
 
-use super::Shared;
+use super::client::Client;
 use super::gossip::ORIGIN;
 use super::job::Job;
 use super::reply::retry_after;
 use super::slot::Slot;
+use super::{Shared, versions};
 
 /// Longest search for the version of a stream, and the share of the caller's time left that it may take. It
 /// covers several questions, and a read of the list of runners.
@@ -117,9 +119,9 @@
     (!answer.is_empty()).then_some(answer)
 }
 
-/// Whether a request takes up a stream that another attempt has begun.
+/// Whether a request takes up a stream that another attempt has begun, perhaps when its route was configured otherwise.
 pub(super) fn is_take_up(job: &Job) -> bool {
-    is_resumable(job) && job.metadata.last_event.is_some()
+    job.is_stream() && job.metadata.last_event.is_some()
 }
 
 fn is_resumable(job: &Job) -> bool {
@@ -161,8 +163,8 @@
 /// # Errors
 ///
 /// The refusal for the caller, if the version is not learnt or the route no longer uses its service.
-pub(super) async fn find(shared: &Shared, job: &mut Job) -> Result<Origin, Refusal> {
-    let (version, source) = search(shared, job).await;
+pub(super) async fn find(shared: &Shared, store: &Client, job: &mut Job) -> Result<Origin, Refusal> {
+    let (version, source) = search(shared, store, job).await;
     shared.metrics.count_take_up(source.name());
     let now = shared.now();
     let state = shared.state();
@@ -191,33 +193,37 @@
 }
 
 /// Version of the stream that a request takes up, and how it was learnt.
-async fn search(shared: &Shared, job: &Job) -> (Option<Version>, Source) {
+async fn search(shared: &Shared, store: &Client, job: &Job) -> (Option<Version>, Source) {
+    let attempt = job.metadata.first_attempt.as_ref();
+    let stream = attempt.map(|attempt| stream_key(job, attempt));
     let now = shared.now();
-    let Some(attempt) = &job.metadata.first_attempt else {
-        let version = shared.state().fleet.only_version(now, &job.admission.service);
-        return (version, version.map_or(Source::None, |_| Source::Only));
-    };
-    let stream = stream_key(job, attempt);
-    let remembered = shared.state().origins.find(now, stream);
+    let remembered = stream.and_then(|stream| shared.state().origins.find(now, stream));
     match remembered {
         Some(_) => (remembered, Source::Own),
-        None => ask_others(shared, job, stream).await,
+        None => learn(shared, store, job, stream).await,
     }
 }
 
-/// Asks the other hosts for a stream's version, and waits for an answer or for a list of runners that shows
-/// that there is only one.
-async fn ask_others(shared: &Shared, job: &Job, stream: StreamKey) -> (Option<Version>, Source) {
+/// Asks the other hosts for a stream's version, if the caller names the stream, and waits for an answer, or for a
+/// register or a list of runners that shows that there is only one.
+async fn learn(
+    shared: &Shared,
+    store: &Client,
+    job: &Job,
+    stream: Option<StreamKey>,
+) -> (Option<Version>, Source) {
     let time_left = job.time_left(shared.now()).unwrap_or(MAX_SEARCH);
     let search_until = Instant::now() + MAX_SEARCH.min(time_left.mul_f64(MAX_SEARCH_SHARE));
     let mut ask_at = Instant::now();
+    let mut refresh = pin!(versions::refresh(shared, store, job.arrived));
+    let mut is_refreshed = false;
     loop {
         let told = shared.origin_told.notified();
         tokio::pin!(told);
         // Registered before the look, so that no answer is missed in between.
         told.as_mut().enable();
         let now = shared.now();
-        let learnt = shared.state().origins.find(now, stream);
+        let learnt = stream.and_then(|stream| shared.state().origins.find(now, stream));
         if learnt.is_some() {
             return (learnt, Source::Peer);
         }
@@ -230,23 +236,27 @@
         }
         if Instant::now() >= ask_at {
             ask_at = Instant::now() + ASK_INTERVAL;
-            shared.state().origins.ask(stream);
-            shared.origins_pending.notify_one();
+            if let Some(stream) = stream {
+                shared.state().origins.ask(stream);
+                shared.origins_pending.notify_one();
+            }
         }
         // Without an answer, the loop looks at the list and asks again.
-        let _ = timeout_at(ask_at.min(search_until), told).await;
+        tokio::select! {
+            () = told => {}
+            () = &mut refresh, if !is_refreshed => is_refreshed = true,
+            () = sleep_until(ask_at.min(search_until)) => {}
+        }
     }
 }
 
-/// The only version that can have begun the stream, if there is just one.
+/// The only version that can have begun the stream, if there is just one. A stream of a route whose streams may not be
+/// taken up goes on only if it is remembered: it began when they might be.
 fn only_version(shared: &Shared, now: Moment, job: &Job) -> Option<Version> {
-    let since = now.saturating_sub(origin::life(job.admission.route.timeout));
+    let unix_ms = shared.wall_clock_ms(now);
     let state = shared.state();
-    // A split route may have begun it at any of its services.
-    let is_split = job.admission.route.shares.len() > 1;
-    let service = &job.admission.service;
-    let only = || state.fleet.only_version_between(since, job.arrived, service);
-    if is_split { None } else { only() }
+    let only = || state.only_origin(now, unix_ms, job.arrived, &job.admission);
+    is_resumable(job).then(only).flatten()
 }
 
 fn stream_key(job: &Job, attempt: &str) -> StreamKey {
--- a/crates/entry/src/proxy/sync.rs
+++ b/crates/entry/src/proxy/sync.rs
@@ -23,7 +23,7 @@
 use super::client::{Client, Timeouts};
 use super::discovery::Discovery;
 use super::records::{self, COUNT_PREFIX, KEY_PREFIX, PROBE_KEY, Snapshot};
-use super::{Shared, changes, crashes, document};
+use super::{Shared, changes, crashes, document, versions};
 use crate::upstream::pool::Pool;
 
 /// Minimum time between the starts of two rounds, however often peers announce changes.
@@ -460,6 +460,7 @@
         };
         self.set_evacuated(&evacuated_zones);
         crashes::apply(&self.shared, &own_entries);
+        versions::apply(&self.shared, as_of, &own_entries);
         let changed = self.discovery.apply(as_of, &runners);
         // If the channel is full, a later round sends a newer snapshot.
         let _ = self.snapshots.try_send(Snapshot {
@@ -485,6 +486,8 @@
             );
         }
         self.source = Some(source);
+        let reads_store = source == Source::Store;
+        self.shared.reads_store.store(reads_store, Ordering::Relaxed);
         true
     }
 }
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -30,6 +30,7 @@
 mod reach;
 mod readers;
 mod refresh;
+mod register;
 mod relay;
 mod run;
 mod schedule;
--- /dev/null
+++ b/tests/suite/proxy/register.rs
@@ -0,0 +1,254 @@
+//! Tests of the register of software versions: what hosts that have just started, or whose routes have changed, know of
+//! the versions that can have begun a stream.
+
+use std::time::Duration;
+
+use radishstair_core::proxy::State;
+use radishstair_core::proxy::fleet::register::Register;
+use radishstair_core::proxy::fleet::software::Version;
+use radishstair_core::proxy::fleet::{Fleet, Listed, Software};
+use radishstair_core::proxy::route::{Limits, Mode, Route, Share, Table};
+use radishstair_core::time::Moment;
+
+use super::fixtures::{self, route, runner, service};
+
+/// Time of day at the start of a test.
+const START_MS: u64 = 1_700_000_000_000;
+/// Time after which a register covers all streams, if it was written at the first start of all hosts.
+const COMPLETE_MS: u64 = 4_000;
+
+fn at(ms: u64) -> Moment {
+    Moment::at_ms(100_000 + ms)
+}
+
+fn version(text: &str) -> Version {
+    Software::new("engines", text).version
+}
+
+fn listed(id: &str, version: &str) -> Listed {
+    Listed {
+        software: Software::new("engines", version),
+        ..runner(id, "engines", "zone-a")
+    }
+}
+
+fn list(fleet: &mut Fleet, ms: u64, runners: &[(&str, &str)]) {
+    let items = runners.iter().map(|(id, version)| listed(id, version));
+    fleet.update(at(ms), items.collect());
+}
+
+fn next(fleet: &Fleet, ms: u64, is_first_start: bool) -> Option<Register> {
+    fleet.next_register(at(ms), START_MS + ms, is_first_start, &["engines"])
+}
+
+/// A host of the first start that has registered what it has listed.
+fn first_host(runners: &[(&str, &str)]) -> (Fleet, Register) {
+    let mut fleet = Fleet::new("zone-a");
+    list(&mut fleet, 0, runners);
+    let register = next(&fleet, 0, true).expect("a row to add");
+    fleet.read_register(at(0), register.clone());
+    (fleet, register)
+}
+
+fn only(fleet: &Fleet, until: u64) -> Option<Version> {
+    fleet.only_registered(START_MS + 60_000, at(until), "engines")
+}
+
+/// Guards against streams that are lost with all hosts, though their service has only ever had one version.
+#[test]
+fn a_host_that_has_just_started_learns_the_only_version() {
+    let (_, register) = first_host(&[("a", "v1")]);
+    let mut started = Fleet::new("zone-a");
+    list(&mut started, 50_000, &[("a", "v1")]);
+    assert_eq!(only(&started, 50_000), None, "the register is not read yet");
+    started.read_register(at(50_000), register);
+    assert_eq!(only(&started, 50_000), Some(version("v1")));
+    assert_eq!(
+        only(&started, 50_001),
+        None,
+        "it was read before the stream was taken up"
+    );
+}
+
+/// Guards against a host that takes the version which is left for the one that began a stream.
+#[test]
+fn a_version_stays_registered_after_its_last_runner() {
+    let (mut fleet, _) = first_host(&[("a", "v1")]);
+    list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
+    let register = next(&fleet, 1_000, true).expect("a version to add");
+    fleet.read_register(at(1_000), register.clone());
+    for ms in (2_000..=600_000).step_by(2_000) {
+        list(&mut fleet, ms, &[("b", "v2")]);
+        assert_eq!(next(&fleet, ms, true), None, "{ms}");
+    }
+    let mut started = Fleet::new("zone-a");
+    list(&mut started, 50_000, &[("b", "v2")]);
+    started.read_register(at(50_000), register.clone());
+    assert_eq!(only(&started, 50_000), None);
+    assert_eq!(
+        next(&started, 50_000, false),
+        None,
+        "it cannot know since when v1 is gone"
+    );
+    for ms in (602_000..=606_000).step_by(2_000) {
+        list(&mut fleet, ms, &[("b", "v2")]);
+    }
+    let register = next(&fleet, 606_000, true).expect("a version to remove");
+    fleet.read_register(at(606_000), register);
+    assert_eq!(only(&fleet, 606_000), Some(version("v2")));
+}
+
+/// Guards against a stream that begins at a version of which no host knows once all are killed.
+#[test]
+fn no_stream_begins_at_a_version_that_is_not_registered() {
+    let (mut fleet, _) = first_host(&[("a", "v1")]);
+    list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
+    let may_begin = |fleet: &Fleet, id: &str| {
+        let key = fleet.find(id).expect("it is listed");
+        fleet.get(key).expect("it is listed").may_begin()
+    };
+    assert!(may_begin(&fleet, "a"));
+    assert!(!may_begin(&fleet, "b"));
+    let register = next(&fleet, 1_000, true).expect("a version to add");
+    fleet.read_register(at(1_000), register);
+    assert!(may_begin(&fleet, "b"));
+    list(&mut fleet, 2_000, &[("a", "v3"), ("b", "v2")]);
+    assert!(!may_begin(&fleet, "a"), "a new process has a version of its own");
+}
+
+/// Guards against a row that says nothing of the streams which began before it was written.
+#[test]
+fn a_row_covers_former_streams_only_after_their_life() {
+    let mut fleet = Fleet::new("zone-a");
+    list(&mut fleet, 0, &[("a", "v1")]);
+    let late = next(&fleet, 0, false).expect("a row to add");
+    fleet.read_register(at(0), late);
+    assert_eq!(only(&fleet, 0), None);
+    let (fleet, _) = first_host(&[("a", "v1")]);
+    let only = |ms| fleet.only_registered(START_MS + ms, at(0), "engines");
+    assert_eq!(
+        only(COMPLETE_MS - 1),
+        None,
+        "other hosts may still have to register theirs"
+    );
+    assert_eq!(only(COMPLETE_MS), Some(version("v1")));
+}
+
+/// Guards against an answer of the store that overtakes a newer one.
+#[test]
+fn an_older_register_does_not_replace_a_newer_one() {
+    let (mut fleet, old) = first_host(&[("a", "v1")]);
+    list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
+    let register = next(&fleet, 1_000, true).expect("a version to add");
+    fleet.read_register(at(1_000), register);
+    fleet.read_register(at(500), old);
+    assert_eq!(only(&fleet, 1_000), None);
+    assert_eq!(next(&fleet, 1_000, true), None);
+}
+
+/// A host that has known one version only, and whose routes are those of a table.
+fn host(routes: Vec<Route>) -> State {
+    let mut state = State::new(fixtures::bounds(), "zone-a");
+    state.configure(at(0), table(1, routes));
+    let (fleet, _) = first_host(&[("a", "v1")]);
+    state.fleet = fleet;
+    state
+}
+
+fn table(revision: u64, routes: Vec<Route>) -> Table {
+    let services = ["engines", "engines-new"].map(|name| service(name, Some(32)));
+    Table::new(
+        revision,
+        revision,
+        routes,
+        services.into(),
+        None,
+        Limits::default(),
+    )
+}
+
+fn notes(path_prefix: &str, service: &str, timeout_s: u64) -> Route {
+    let resumable = Mode::Stream { resumable: true };
+    Route {
+        timeout: Some(Duration::from_secs(timeout_s)),
+        ..route(&format!("notes-{path_prefix}"), path_prefix, resumable, service)
+    }
+}
+
+/// Whether a take-up at this time goes on without memory of its stream.
+fn goes_on(state: &mut State, ms: u64) -> bool {
+    let register = first_host(&[("a", "v1")]).1;
+    state.fleet.read_register(at(ms), register);
+    let head = fixtures::request("");
+    let admission = state.admit(at(ms), &head).expect("the route is there");
+    state.only_origin(at(ms), START_MS + ms, at(ms), &admission) == Some(version("v1"))
+}
+
+/// Guards against a stream that goes on at another service, as a change of the routes leads its caller there.
+#[test]
+fn a_stream_does_not_go_on_at_a_service_that_its_route_had_not() {
+    let (here, there) = ("engines", "engines-new");
+    let notes = |path_prefix, service| notes(path_prefix, service, 15);
+    for (name, former, current, is_joined) in [
+        (
+            "moved",
+            vec![notes("/notes/", there)],
+            vec![notes("/notes/", here)],
+            true,
+        ),
+        (
+            "another one added",
+            vec![notes("/notes/", here)],
+            vec![notes("/notes/", here), notes("/other/", there)],
+            false,
+        ),
+        (
+            "a longer prefix added",
+            vec![notes("/", there)],
+            vec![notes("/", there), notes("/notes/", here)],
+            true,
+        ),
+        (
+            "a longer prefix removed",
+            vec![notes("/", here), notes("/notes/", there)],
+            vec![notes("/", here)],
+            true,
+        ),
+    ] {
+        let mut state = host(former);
+        state.configure(at(10_000), table(2, current));
+        assert_eq!(goes_on(&mut state, 12_000), !is_joined, "{name}");
+        // The revocation bound and twice the timeout later, all former streams are over.
+        assert!(goes_on(&mut state, 10_000 + 5_000 + 30_000), "{name}");
+    }
+}
+
+/// A route that is split over services says nothing about which of them began a stream.
+#[test]
+fn a_stream_of_a_split_route_needs_memory() {
+    let mut split = notes("/notes/", "engines", 15);
+    split.shares.push(Share {
+        service: "engines-new".into(),
+        weight: 10,
+    });
+    assert!(!goes_on(&mut host(vec![split]), 12_000));
+}
+
+/// Guards against a host without a register that looks back over the present timeout only, though streams that are
+/// taken up began when it was longer.
+#[test]
+fn a_shorter_timeout_does_not_shorten_the_past() {
+    let mut state = State::new(fixtures::bounds(), "zone-a");
+    state.configure(at(0), table(1, vec![notes("/notes/", "engines", 60)]));
+    list(&mut state.fleet, 0, &[("old", "v0"), ("a", "v1")]);
+    for ms in (1_000..=80_000).step_by(1_000) {
+        list(&mut state.fleet, ms, &[("a", "v1")]);
+    }
+    state.configure(at(40_000), table(2, vec![notes("/notes/", "engines", 5)]));
+    let head = fixtures::request("");
+    let admission = state.admit(at(79_000), &head).expect("the route is there");
+    assert_eq!(
+        state.only_origin(at(79_000), START_MS, at(79_000), &admission),
+        None
+    );
+}
