Keep the versions of streams in the store while several versions serve

Cause: which version began a stream was known to a few hosts only, and all of them had died. The register of versions, which outlives them, cannot tell two versions apart.

Change: while more than one version of a service is registered, hosts also tell the version of each stream to one host of their zone, which writes what began in two seconds under one key, every half second, and uses 32 keys in turn. A keeper that has just started reads these keys when it is asked for a stream that it does not know. A version is still never guessed.

In memory: 40 hosts, 600 streams, all killed: each version is found again, and at most one host of a zone has written.

--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -146,6 +146,13 @@
         self.register_read.is_some_and(|read| read.reached(since))
     }
 
+    /// Whether the register has a single version of a service, so that the versions of single streams need not be kept.
+    pub fn has_one_version(&self, service: &str) -> bool {
+        self.register
+            .row(service)
+            .is_some_and(|row| row.versions.len() == 1)
+    }
+
     /// The only version of a service that can have begun a stream before `until`, according to the register as it was
     /// read after that.
     pub fn only_registered(&self, unix_ms: u64, until: Moment, service: &str) -> Option<Version> {
--- a/crates/core/src/proxy/holders.rs
+++ b/crates/core/src/proxy/holders.rs
@@ -13,6 +13,8 @@
 const MARGIN: usize = 2;
 /// Maximum number of hosts that are asked.
 const MAX_ASKED: usize = 16;
+/// Item by which the keepers are chosen.
+const KEEPER: u64 = 0;
 
 /// Hosts that are told about an item, of those that are alive without the one that tells.
 pub fn told(item: u64, hosts: &[Host]) -> Vec<SocketAddr> {
@@ -31,6 +33,20 @@
     asked.take(MAX_ASKED).map(|(_, address)| *address).collect()
 }
 
+/// Hosts that keep the versions of their zone's streams in the store, one in each zone.
+pub fn keepers(hosts: &[Host]) -> Vec<SocketAddr> {
+    let ranked = ranked(KEEPER, hosts);
+    let first = ranked.iter().filter(|(position, _)| *position == 0);
+    first.map(|(_, address)| *address).collect()
+}
+
+/// The one of them in the zone of a host.
+pub fn keeper_for(own: SocketAddr, hosts: &[Host]) -> Option<SocketAddr> {
+    let zone = hosts.iter().find(|host| host.address == own)?.zone;
+    let of_zone: Vec<Host> = hosts.iter().filter(|host| host.zone == zone).copied().collect();
+    keepers(&of_zone).first().copied()
+}
+
 /// All hosts in the order in which they hold an item, with their position in their zone: the first of each
 /// zone before the second ones.
 fn ranked(item: u64, hosts: &[Host]) -> Vec<(usize, SocketAddr)> {
--- a/crates/core/src/proxy/origin.rs
+++ b/crates/core/src/proxy/origin.rs
@@ -8,6 +8,7 @@
 //! A host that does not learn the version does not let the stream go on. So a record that is lost or late
 //! never joins events of two versions; it only costs a stream.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 use crate::time::Moment;
 
 pub mod routes;
+pub mod segment;
+
+use segment::Segment;
 
 /// Maximum number of versions that a host remembers.
 const MAX_ENTRIES: usize = 32_768;
@@ -105,6 +109,16 @@
     pub life_ms: u32,
 }
 
+impl Record {
+    fn new(stream: StreamKey, version: Version, life: Duration) -> Self {
+        Self {
+            stream: stream.0,
+            version: version.0,
+            life_ms: life.as_millis() as u32,
+        }
+    }
+}
+
 /// Message between hosts.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Message {
@@ -114,6 +128,9 @@
     /// Keys of the streams whose versions the sender wants to know.
     #[prost(fixed64, repeated, tag = "2")]
     pub asked: Vec<u64>,
+    /// Versions that the receiver writes to the store, as the keeper of its zone.
+    #[prost(message, repeated, tag = "3")]
+    pub kept: Vec<Record>,
 }
 
 impl Message {
@@ -141,6 +158,23 @@
     until: Moment,
 }
 
+impl Entry {
+    fn new(now: Moment, record: Record) -> Self {
+        let life = Duration::from_millis(record.life_ms.into()).min(MAX_LIFE);
+        Self {
+            stream: StreamKey(record.stream),
+            version: Some(Version(record.version)),
+            until: now + life,
+        }
+    }
+
+    /// Adds what was told of the same stream once more.
+    fn merge(&mut self, other: &Self) {
+        self.version = self.version.filter(|version| other.version == Some(*version));
+        self.until = self.until.max(other.until);
+    }
+}
+
 /// What one host remembers, and what it has yet to send.
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
@@ -149,20 +183,50 @@
     purged_at: Moment,
     to_tell: Vec<Record>,
     to_ask: Vec<StreamKey>,
+    /// Versions for the keeper of this host's zone.
+    to_keep: Vec<Record>,
+    /// Versions to be written to the store by this host.
+    to_store: Vec<Record>,
 }
 
 impl Origins {
     /// Records that this host has received the first event of a stream.
     pub fn begin(&mut self, now: Moment, stream: StreamKey, version: Version, life: Duration) {
-        let record = Record {
-            stream: stream.0,
-            version: version.0,
-            life_ms: life.as_millis() as u32,
-        };
+        let record = Record::new(stream, version, life);
         self.remember(now, record);
         self.to_tell.push(record);
     }
 
+    /// Has the version of a stream written to the store, by the keeper of this host's zone.
+    pub fn keep(&mut self, stream: StreamKey, version: Version, life: Duration) {
+        self.to_keep.push(Record::new(stream, version, life));
+    }
+
+    /// Records what was read from the store, the newest segments first, up to half of what is remembered.
+    pub fn restore(&mut self, now: Moment, unix_ms: u64, mut segments: Vec<Segment>) {
+        self.purge(now);
+        segments.sort_by_key(|segment| Reverse(segment.span));
+        let records = segments.iter().flat_map(|segment| segment.records(unix_ms));
+        let restored = records.map(|record| Entry::new(now, record));
+        self.entries.extend(restored.take(MAX_ENTRIES / 2));
+        self.entries.sort_by_key(|entry| entry.stream);
+        self.entries.dedup_by(|other, kept| {
+            let is_same = other.stream == kept.stream;
+            if is_same {
+                kept.merge(other);
+            }
+            is_same
+        });
+        self.entries.sort_unstable_by_key(|entry| Reverse(entry.until));
+        self.entries.truncate(MAX_ENTRIES);
+        self.entries.sort_unstable_by_key(|entry| entry.stream);
+    }
+
+    /// Versions to be written to the store by this host, as the keeper of its zone; they count as taken.
+    pub fn take_to_store(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.to_store)
+    }
+
     /// Has the other hosts asked for a stream's version.
     pub fn ask(&mut self, stream: StreamKey) {
         if !self.to_ask.contains(&stream) {
@@ -182,11 +246,15 @@
         for record in message.told.iter().take(MAX_PER_MESSAGE) {
             self.remember(now, *record);
         }
+        for record in message.kept.iter().take(MAX_PER_MESSAGE) {
+            self.remember(now, *record);
+            self.store(*record);
+        }
         let asked = message.asked.iter().take(MAX_PER_MESSAGE);
         let known = asked.filter_map(|stream| self.record(now, StreamKey(*stream)));
         Message {
             told: known.collect(),
-            asked: Vec::new(),
+            ..Message::default()
         }
     }
 
@@ -199,14 +267,32 @@
                 message_to(&mut messages, holder).told.push(record);
             }
         }
+        let keepers = holders::keepers(&others);
         for stream in self.to_ask.drain(..) {
-            for holder in holders::possibly_told(stream.0, &others) {
+            let mut asked = holders::possibly_told(stream.0, &others);
+            asked.extend(&keepers);
+            asked.sort_unstable();
+            asked.dedup();
+            for holder in asked {
                 message_to(&mut messages, holder).asked.push(stream.0);
             }
         }
+        let keeper = holders::keeper_for(own, hosts);
+        for record in std::mem::take(&mut self.to_keep) {
+            match keeper.filter(|keeper| *keeper != own) {
+                Some(keeper) => message_to(&mut messages, keeper).kept.push(record),
+                None => self.store(record),
+            }
+        }
         messages
     }
 
+    fn store(&mut self, record: Record) {
+        if self.to_store.len() < MAX_ENTRIES {
+            self.to_store.push(record);
+        }
+    }
+
     /// Number of versions that are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -233,19 +319,10 @@
 
     fn remember(&mut self, now: Moment, record: Record) {
         self.purge(now);
-        let life = Duration::from_millis(record.life_ms.into()).min(MAX_LIFE);
-        let entry = Entry {
-            stream: StreamKey(record.stream),
-            version: Some(Version(record.version)),
-            until: now + life,
-        };
+        let entry = Entry::new(now, record);
         match self.position(entry.stream) {
             Ok(at) if now.reached(self.entries[at].until) => self.entries[at] = entry,
-            Ok(at) => {
-                let known = &mut self.entries[at];
-                known.version = known.version.filter(|version| version.0 == record.version);
-                known.until = known.until.max(entry.until);
-            }
+            Ok(at) => self.entries[at].merge(&entry),
             Err(at) => self.entries.insert(at, entry),
         }
         if self.entries.len() > MAX_ENTRIES {
@@ -263,7 +340,10 @@
 }
 
 fn message_to(messages: &mut Vec<(SocketAddr, Message)>, address: SocketAddr) -> &mut Message {
-    let is_full = |message: &Message| message.told.len().max(message.asked.len()) >= MAX_PER_MESSAGE;
+    let is_full = |message: &Message| {
+        let lengths = [message.told.len(), message.asked.len(), message.kept.len()];
+        lengths.iter().any(|length| *length >= MAX_PER_MESSAGE)
+    };
     let found = messages
         .iter()
         .position(|(to, message)| *to == address && !is_full(message));
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -140,6 +140,8 @@
     origin_rounds: origins::Rounds,
     /// Notified when another host has told such versions.
     origin_told: Notify,
+    /// Notified when versions of streams are to be read from the store.
+    origins_wanted: Notify,
     /// Notified when something is known of crashes that has not been looked at.
     crash_pending: Notify,
     /// Notified when crashes or quarantines may have to be written to the store.
@@ -216,6 +218,7 @@
             origins_pending: Notify::new(),
             origin_rounds: origins::Rounds::default(),
             origin_told: Notify::new(),
+            origins_wanted: Notify::new(),
             crash_pending: Notify::new(),
             crash_unwritten: Notify::new(),
             secret: Secret::new(rand::random()),
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -121,6 +121,8 @@
     pub runner_prefix: &'static str,
     /// Prefix of the keys of evacuated zones; the rest of a key is the zone.
     pub evacuation_prefix: &'static str,
+    /// Prefix of keys of this system that are read only when they are needed. It sorts before the operator's document.
+    pub unlisted_prefix: &'static str,
 }
 
 /// Translates messages to and from one platform.
--- a/crates/entry/src/proxy/origins.rs
+++ b/crates/entry/src/proxy/origins.rs
@@ -21,6 +21,8 @@
 use super::slot::Slot;
 use super::{Shared, versions};
 
+pub(super) mod stored;
+
 /// Longest search for the version of a stream, and the share of the caller's time left that it may take. It
 /// covers several questions, and a read of the list of runners.
 const MAX_SEARCH: Duration = Duration::from_millis(900);
@@ -116,6 +118,9 @@
     if !message.told.is_empty() {
         shared.origin_told.notify_waiters();
     }
+    if answer.told.len() < message.asked.len() {
+        stored::request(shared);
+    }
     (!answer.is_empty()).then_some(answer)
 }
 
@@ -150,9 +155,11 @@
     // No other host takes up a stream that cannot be resumed; this one may continue it from its KV cache.
     if is_resumable(job) {
         let life = origin::life(job.admission.route.timeout);
-        state
-            .origins
-            .begin(now, stream_key(job, &job.metadata.id), version, life);
+        let stream = stream_key(job, &job.metadata.id);
+        state.origins.begin(now, stream, version, life);
+        if !state.fleet.has_one_version(&job.admission.service) {
+            state.origins.keep(stream, version, life);
+        }
     }
     Origin::Version(version)
 }
@@ -239,6 +246,7 @@
             if let Some(stream) = stream {
                 shared.state().origins.ask(stream);
                 shared.origins_pending.notify_one();
+                stored::request(shared);
             }
         }
         // Without an answer, the loop looks at the list and asks again.
--- a/crates/entry/src/proxy/run.rs
+++ b/crates/entry/src/proxy/run.rs
@@ -21,7 +21,7 @@
 use super::settings::Settings;
 use crate::upstream::pool::Pool;
 
-use super::{Shared, accept, admin, collector, crashes, document, gossip, paths, sync, versions};
+use super::{Shared, accept, admin, collector, crashes, document, gossip, origins, paths, sync, versions};
 
 /// Time for which a stopping host still accepts connections. The load balancer checks
 /// readiness once a second and stops sending callers after two failures, with some delay.
@@ -122,6 +122,8 @@
             tokio::spawn(document::run(shared.clone(), store.clone()));
             tokio::spawn(crashes::publish(shared.clone(), store.clone()));
             tokio::spawn(versions::publish(shared.clone(), store.clone()));
+            tokio::spawn(origins::stored::write(shared.clone(), store.clone()));
+            tokio::spawn(origins::stored::read(shared.clone(), store.clone()));
             tokio::spawn(sync::run(shared.clone(), store.clone(), pool, snapshots));
             Duty::new(shared, store, counts)
                 .run(snapshots_read, finish_requested)
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod run;
 mod schedule;
+mod segment;
 mod software;
 mod start;
 mod takeover;
--- a/tests/suite/proxy/origin.rs
+++ b/tests/suite/proxy/origin.rs
@@ -141,6 +141,7 @@
         let message = Message {
             told: vec![record],
             asked: Vec::new(),
+            ..Message::default()
         };
         for known in self.view(from) {
             let to = self.hosts.iter().position(|host| host.address == known.address);
@@ -293,6 +294,7 @@
     let asked = Message {
         told: Vec::new(),
         asked: vec![stream(1).0],
+        ..Message::default()
     };
     assert!(origins.receive(at(1), &asked).is_empty());
 }
@@ -339,6 +341,7 @@
     let many = Message {
         told: vec![record; 1_000],
         asked: vec![5; 1_000],
+        ..Message::default()
     };
     let answer = origins.receive(at(31_000), &many);
     assert_eq!(answer.told.len(), 64);
