Keep streams that began before a release, and write the register without a long wait

Streams that were in flight at the first kill had begun while one version was registered, so that nobody had kept theirs; at the third kill the keepers' read of the store, 0.7 MB over a link of 10 Mbit/s, was given up after 0.8 s.

Change: when a service gets its second version, each host has the streams kept that it has forwarded. A keeper reads with the timeouts of a transfer, and is chosen among the hosts of its zone with the faster links.

Found beside busy processes: a_stream_that_began_before_a_release... failed in 3 of 12 runs, as a version was registered only 3 s after it was listed. A host that looked in the moment between its first list and the note that it reads the store waited up to 6 s. The wait is now decided anew at each look. The read of the register for a take-up is repeated until the store answers.

--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -64,11 +64,12 @@
 }
 
 impl Fleet {
-    /// Applies the register in the store, as read by a call that was sent at `sent`. Rows that are not sorted are left
-    /// out, and so is a register that is older than the known one.
-    pub fn read_register(&mut self, sent: Moment, mut register: Register) {
+    /// Applies the register in the store, as read by a call that was sent at `sent`; returns whether any service that
+    /// had one version now has several. Rows that are not sorted are left out, and so is a register that is older than
+    /// the known one.
+    pub fn read_register(&mut self, sent: Moment, mut register: Register) -> bool {
         if self.register_read.is_some_and(|read| !sent.reached(read)) {
-            return;
+            return false;
         }
         self.register_read = Some(sent);
         register.rows.retain(|row| row.versions.is_sorted());
@@ -77,13 +78,19 @@
             .sort_by(|one, other| one.service.cmp(&other.service));
         register.rows.dedup_by(|one, other| one.service == other.service);
         if register == self.register {
-            return;
+            return false;
         }
+        let single = self.register.rows.iter().filter(|row| row.versions.len() == 1);
+        let has_several = |row: &Row| row.versions.len() > 1;
+        let has_grown = single
+            .filter_map(|row| register.row(&row.service))
+            .any(has_several);
         self.register = register;
         for runner in &mut self.arena {
             let software = &runner.listed.software;
             runner.is_registered = self.register.allows(&runner.listed.service, software.version);
         }
+        has_grown
     }
 
     /// The register as it should be for these services, if it is not: a version that a runner has is added, and one that
--- a/crates/core/src/proxy/holders.rs
+++ b/crates/core/src/proxy/holders.rs
@@ -33,9 +33,18 @@
     asked.take(MAX_ASKED).map(|(_, address)| *address).collect()
 }
 
-/// Hosts that keep the versions of their zone's streams in the store, one in each zone.
+/// Hosts that keep the versions of their zone's streams in the store, one in each zone, with one of its faster links.
 pub fn keepers(hosts: &[Host]) -> Vec<SocketAddr> {
-    let ranked = ranked(KEEPER, hosts);
+    let mut fastest: Vec<(u64, u32)> = hosts.iter().map(|host| (host.zone, host.link_mbps)).collect();
+    fastest.sort_unstable_by(|one, other| other.cmp(one));
+    fastest.dedup_by_key(|(zone, _)| *zone);
+    let fastest = |zone: u64| {
+        let at = fastest.binary_search_by(|(other, _)| zone.cmp(other));
+        at.map_or(0, |at| fastest[at].1)
+    };
+    let is_fast = |host: &&Host| host.link_mbps.saturating_mul(2) >= fastest(host.zone);
+    let fast: Vec<Host> = hosts.iter().filter(is_fast).copied().collect();
+    let ranked = ranked(KEEPER, &fast);
     let first = ranked.iter().filter(|(position, _)| *position == 0);
     first.map(|(_, address)| *address).collect()
 }
--- a/crates/core/src/proxy/origin.rs
+++ b/crates/core/src/proxy/origin.rs
@@ -156,6 +156,8 @@
     /// `None` if two hosts have told different versions.
     version: Option<Version>,
     until: Moment,
+    /// Whether this host has forwarded its first event.
+    is_own: bool,
 }
 
 impl Entry {
@@ -165,6 +167,7 @@
             stream: StreamKey(record.stream),
             version: Some(Version(record.version)),
             until: now + life,
+            is_own: false,
         }
     }
 
@@ -172,6 +175,7 @@
     fn merge(&mut self, other: &Self) {
         self.version = self.version.filter(|version| other.version == Some(*version));
         self.until = self.until.max(other.until);
+        self.is_own |= other.is_own;
     }
 }
 
@@ -193,7 +197,11 @@
     /// Records that this host has received the first event of a stream.
     pub fn begin(&mut self, now: Moment, stream: StreamKey, version: Version, life: Duration) {
         let record = Record::new(stream, version, life);
-        self.remember(now, record);
+        let entry = Entry {
+            is_own: true,
+            ..Entry::new(now, record)
+        };
+        self.remember(now, entry);
         self.to_tell.push(record);
     }
 
@@ -202,6 +210,15 @@
         self.to_keep.push(Record::new(stream, version, life));
     }
 
+    /// Has the versions of all streams written to the store that this host has forwarded: another version has come, so
+    /// that theirs cannot be told without memory any more.
+    pub fn keep_own(&mut self, now: Moment) {
+        let own = self.entries.iter().filter(|entry| entry.is_own);
+        let kept = own.filter_map(|entry| self.record(now, entry.stream));
+        let kept: Vec<Record> = kept.collect();
+        self.to_keep.extend(kept);
+    }
+
     /// Records what was read from the store, the newest segments first, up to half of what is remembered.
     pub fn restore(&mut self, now: Moment, unix_ms: u64, mut segments: Vec<Segment>) {
         self.purge(now);
@@ -244,10 +261,10 @@
     /// Applies a message; returns the answer to its questions, which may be empty.
     pub fn receive(&mut self, now: Moment, message: &Message) -> Message {
         for record in message.told.iter().take(MAX_PER_MESSAGE) {
-            self.remember(now, *record);
+            self.remember(now, Entry::new(now, *record));
         }
         for record in message.kept.iter().take(MAX_PER_MESSAGE) {
-            self.remember(now, *record);
+            self.remember(now, Entry::new(now, *record));
             self.store(*record);
         }
         let asked = message.asked.iter().take(MAX_PER_MESSAGE);
@@ -267,7 +284,10 @@
                 message_to(&mut messages, holder).told.push(record);
             }
         }
-        let keepers = holders::keepers(&others);
+        let keepers = match self.to_ask.is_empty() {
+            true => Vec::new(),
+            false => holders::keepers(&others),
+        };
         for stream in self.to_ask.drain(..) {
             let mut asked = holders::possibly_told(stream.0, &others);
             asked.extend(&keepers);
@@ -277,8 +297,12 @@
                 message_to(&mut messages, holder).asked.push(stream.0);
             }
         }
-        let keeper = holders::keeper_for(own, hosts);
-        for record in std::mem::take(&mut self.to_keep) {
+        let to_keep = std::mem::take(&mut self.to_keep);
+        let keeper = match to_keep.is_empty() {
+            true => None,
+            false => holders::keeper_for(own, hosts),
+        };
+        for record in to_keep {
             match keeper.filter(|keeper| *keeper != own) {
                 Some(keeper) => message_to(&mut messages, keeper).kept.push(record),
                 None => self.store(record),
@@ -317,9 +341,8 @@
         })
     }
 
-    fn remember(&mut self, now: Moment, record: Record) {
+    fn remember(&mut self, now: Moment, entry: Entry) {
         self.purge(now);
-        let entry = Entry::new(now, record);
         match self.position(entry.stream) {
             Ok(at) if now.reached(self.entries[at].until) => self.entries[at] = entry,
             Ok(at) => self.entries[at].merge(&entry),
--- a/crates/core/src/proxy/origin/segment.rs
+++ b/crates/core/src/proxy/origin/segment.rs
@@ -20,7 +20,7 @@
 /// Time for which streams are found in the store.
 pub const COVERED: Duration = Duration::from_millis((KEYS - 1) * SPAN_MS);
 /// Maximum number of streams under one key; further ones are not written.
-const MAX_STREAMS: usize = 8_192;
+const MAX_STREAMS: usize = 16_384;
 
 record! {
     /// Streams that began in one zone and one span of time, as stored.
--- a/crates/entry/src/proxy/origins/stored.rs
+++ b/crates/entry/src/proxy/origins/stored.rs
@@ -8,7 +8,7 @@
 use radishstair_core::store::{Answer, Call};
 
 use super::super::Shared;
-use super::super::call::{self, PAGE_LIMIT, WRITE_TIMEOUT};
+use super::super::call::{self, PAGE_LIMIT, TRANSFER_TIMEOUTS, WRITE_TIMEOUT};
 use super::super::client::Client;
 
 /// Time between two writes of a keeper.
@@ -19,8 +19,6 @@
 /// fewer and fewer of the streams that are asked for can have been written since.
 const MIN_READ_PAUSE: Duration = Duration::from_millis(250);
 const MAX_READ_PAUSE: Duration = Duration::from_secs(8);
-/// Time limit for one page.
-const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Writes the versions that this host keeps for its zone, until the process ends.
 pub async fn write(shared: Arc<Shared>, store: Arc<Client>) {
@@ -80,7 +78,7 @@
             after,
             limit: PAGE_LIMIT,
         };
-        let response = call::send(shared, store, &call, READ_TIMEOUT).await;
+        let response = call::send_with(shared, store, &call, TRANSFER_TIMEOUTS).await;
         let Answer::Found(entries) = response.answer else {
             return segments;
         };
--- a/crates/entry/src/proxy/versions.rs
+++ b/crates/entry/src/proxy/versions.rs
@@ -18,9 +18,11 @@
 const KEY: &str = "radishstair/versions";
 /// Time limit for reading it alone.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause after a read that the store has not answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two looks at whether it has to be written.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time over which the writes of the hosts that read the store are spread.
+/// Time over which the writes of the hosts that read the store are spread, at each look.
 const READER_SPREAD: Duration = Duration::from_millis(150);
 /// Time after which one of the other hosts writes, and over which these are spread.
 const OTHERS_WAIT: Duration = Duration::from_secs(2);
@@ -30,17 +32,17 @@
 ///
 /// The hosts that read the store write first; the others need to only if none of them can.
 pub async fn publish(shared: Arc<Shared>, store: Arc<Client>) {
+    let mut needed_since = None;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        if next(&shared).is_none() {
+        tokio::time::sleep(CHECK_INTERVAL + READER_SPREAD.mul_f64(rand::random())).await;
+        let Some(register) = next(&shared) else {
+            needed_since = None;
             continue;
-        }
-        let (wait, spread) = match shared.reads_store.load(Ordering::Relaxed) {
-            true => (Duration::ZERO, READER_SPREAD),
-            false => (OTHERS_WAIT, OTHERS_SPREAD),
         };
-        tokio::time::sleep(wait + spread.mul_f64(rand::random())).await;
-        if let Some(register) = next(&shared) {
+        let now = shared.now();
+        let since = *needed_since.get_or_insert(now);
+        let others_wait = OTHERS_WAIT + OTHERS_SPREAD.mul_f64(rand::random());
+        if shared.reads_store.load(Ordering::Relaxed) || now.since(since) >= others_wait {
             write(&shared, &store, &register).await;
         }
     }
@@ -73,7 +75,7 @@
     let sent = shared.now();
     // In a conflict, another host has written it; it comes with the next round.
     if let Answer::Written(version) = call::send(shared, store, &call, WRITE_TIMEOUT).await.answer {
-        shared.state().fleet.read_register(sent, register.clone());
+        adopt(shared, sent, register.clone());
         tracing::info!(
             event = "versions-registered",
             version,
@@ -87,20 +89,32 @@
 pub fn apply(shared: &Shared, as_of: Moment, own_entries: &[Entry]) {
     let entry = own_entries.iter().find(|entry| entry.key == KEY);
     if let Some(register) = entry.and_then(parse::<Register>) {
-        shared.state().fleet.read_register(as_of, register);
+        adopt(shared, as_of, register);
+    }
+}
+
+fn adopt(shared: &Shared, sent: Moment, register: Register) {
+    let now = shared.now();
+    let mut state = shared.state();
+    if state.fleet.read_register(sent, register) {
+        state.origins.keep_own(now);
+        shared.origins_pending.notify_one();
     }
 }
 
-/// Reads the register by a call that is sent after `since`, unless that was done. The requests of a host that need it at
-/// the same time share the calls.
+/// Reads the register by a call that is sent after `since`, unless that was done; tries until the store answers. The
+/// requests of a host that need it at the same time share the calls.
 pub async fn refresh(shared: &Shared, store: &Client, since: Moment) {
     let _turn = shared.register_turn.lock().await;
     if shared.state().fleet.is_register_read(since) {
         return;
     }
-    let sent = shared.now();
-    let call = Call::Get { key: KEY.into() };
-    if let Answer::Found(entries) = call::send(shared, store, &call, READ_TIMEOUT).await.answer {
-        apply(shared, sent, &entries);
+    loop {
+        let sent = shared.now();
+        let call = Call::Get { key: KEY.into() };
+        match call::send(shared, store, &call, READ_TIMEOUT).await.answer {
+            Answer::Found(entries) => return apply(shared, sent, &entries),
+            _ => tokio::time::sleep(RETRY_PAUSE).await,
+        }
     }
 }
--- a/tests/suite/proxy/register.rs
+++ b/tests/suite/proxy/register.rs
@@ -134,6 +134,17 @@
     assert_eq!(only(COMPLETE_MS), Some(version("v1")));
 }
 
+/// A host is told when a service has its second version, and not again with each read.
+#[test]
+fn the_second_version_of_a_service_is_noticed() {
+    let (mut fleet, first) = first_host(&[("a", "v1")]);
+    assert!(!fleet.read_register(at(500), first));
+    list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
+    let second = next(&fleet, 1_000, true).expect("a version to add");
+    assert!(fleet.read_register(at(1_000), second.clone()));
+    assert!(!fleet.read_register(at(1_500), second));
+}
+
 /// Guards against an answer of the store that overtakes a newer one.
 #[test]
 fn an_older_register_does_not_replace_a_newer_one() {
--- a/tests/suite/proxy/segment.rs
+++ b/tests/suite/proxy/segment.rs
@@ -134,6 +134,33 @@
     }
 }
 
+/// Guards against streams that are lost with all hosts as they had begun when their service had one version, and was
+/// then released.
+#[test]
+fn streams_of_the_former_version_are_kept_once_another_one_comes() {
+    let own = SocketAddr::from(([10, 0, 0, 0], 1));
+    let mut origins = Origins::default();
+    origins.begin(at(0), stream(0), version(0), LIFE);
+    origins.begin(at(20_000), stream(1), version(0), LIFE);
+    let told = Record {
+        stream: 7,
+        version: 1,
+        life_ms: 30_000,
+    };
+    origins.receive(
+        at(20_000),
+        &Message {
+            told: vec![told],
+            ..Message::default()
+        },
+    );
+    origins.keep_own(at(31_000));
+    origins.take_messages(own, &[]);
+    let kept = origins.take_to_store();
+    assert_eq!(kept.len(), 1, "own streams that may be taken up: {kept:?}");
+    assert_eq!((StreamKey(kept[0].stream), kept[0].life_ms), (stream(1), 19_000));
+}
+
 /// Guards against versions that are lost as two hosts of a zone take themselves for its keeper, and write the same key.
 #[test]
 fn two_keepers_of_a_zone_lose_nothing() {
@@ -227,6 +254,14 @@
         let keeper = holders::keeper_for(host.address, &hosts).expect("a keeper");
         assert!(keepers.contains(&keeper));
     }
+    let mut mixed = hosts.clone();
+    mixed.iter_mut().step_by(3).for_each(|host| host.link_mbps = 10);
+    let is_slow = |keeper: &SocketAddr| {
+        mixed
+            .iter()
+            .any(|host| host.address == *keeper && host.link_mbps == 10)
+    };
+    assert!(!holders::keepers(&mixed).iter().any(is_slow));
     let mut asking = Origins::default();
     asking.ask(stream(1));
     let messages: Vec<(SocketAddr, Message)> = asking.take_messages(hosts[0].address, &hosts);
