--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -247,6 +247,11 @@
                 if is_new_run {
                     log.history.revert_send();
                 }
+                tracing::info!(
+                    event = "request-not-sent",
+                    request = job.metadata.id,
+                    runner = slot.id
+                );
                 Err(AttemptError::Failed(Fault::Unreachable))
             }
             Ok(Err(Failure::MaybeSent)) => {
