Answer requests that come late in a planned stop or are in flight at its end

Callers saw: in a planned stop, requests that came late in the grace period were passed on and their connections closed without an answer 6.9 s after SIGTERM, postings among them. So was whatever else was in flight then.

Cause: the process alone had a time limit. Neither the last look before bytes are sent nor the waits for a request knew of it.

Change: `core::proxy::stop::Schedule` has the two times of a stop. From the first one on (2.7 s, or half of a shorter grace period) a request is passed on only if its own deadline falls within the stop; the others are refused, not run, with a time to come back. At the second one, 1.1 s before the end of the grace period, every wait for a request ends: 502 or 504 if a runner may have begun it, else 503. The host waits for these answers while it releases its lease.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -46,6 +46,7 @@
 pub mod scaling;
 pub mod services;
 pub mod start;
+pub mod stop;
 pub mod takeover;
 pub mod usage;
 pub mod waiting;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -71,6 +71,8 @@
     tried: Vec<K>,
     sends: u32,
     unreachable: u32,
+    /// Whether an attempt was sent whose outcome is not known yet.
+    is_sent: bool,
     may_have_run: bool,
 }
 
@@ -80,6 +82,7 @@
             tried: Vec::new(),
             sends: 0,
             unreachable: 0,
+            is_sent: false,
             may_have_run: false,
         }
     }
@@ -94,6 +97,7 @@
     /// Records that bytes of the request may be sent from now on.
     pub fn record_send(&mut self) {
         self.sends += 1;
+        self.is_sent = true;
     }
 
     /// Records that an attempt ended without an answer; returns why the request is not
@@ -108,6 +112,7 @@
         timed_out: bool,
         take_budget: impl FnOnce() -> bool,
     ) -> Option<Denial> {
+        self.is_sent = false;
         match fault {
             Fault::Unreachable => {
                 self.unreachable += 1;
@@ -147,6 +152,7 @@
     /// Reverts [`Self::record_send`], as no byte was sent.
     pub fn revert_send(&mut self) {
         self.sends -= 1;
+        self.is_sent = false;
     }
 
     /// Records that a runner runs the request, or may be running it as the deadline passes.
@@ -176,6 +182,11 @@
         self.sends
     }
 
+    /// Whether the request may have run, or may run now.
+    pub fn may_have_begun(&self) -> bool {
+        self.may_have_run || self.is_sent
+    }
+
     /// Whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -22,11 +22,12 @@
 use radishstair_core::proxy::mirror::Mirror;
 use radishstair_core::proxy::readers::{self, Host};
 use radishstair_core::proxy::relay::{Secret, is_secret};
+use radishstair_core::proxy::stop;
 use radishstair_core::proxy::usage::Record;
 use radishstair_core::proxy::waiting::Waiting;
 use radishstair_core::time::Moment;
 use tokio::runtime::Handle;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::clock::Clock;
 use crate::in_flight::{self, InFlightGuard};
@@ -95,8 +96,8 @@
     pub adapter: Arc<dyn Adapter>,
     /// Settings as last loaded.
     pub settings: ArcSwap<settings::Settings>,
-    /// Whether the process has been asked to stop.
-    pub stopping: AtomicBool,
+    /// Schedule of the planned stop, once the process has been asked to stop.
+    stop: watch::Sender<Option<stop::Schedule>>,
     /// Whether this host has nothing yet, and asks its peers for it.
     awaits_peers: AtomicBool,
     /// Whether the records of all hosts have been read since the start.
@@ -195,7 +196,7 @@
             metrics: Metrics::default(),
             adapter,
             settings: ArcSwap::from_pointee(settings),
-            stopping: AtomicBool::new(false),
+            stop: watch::Sender::default(),
             awaits_peers: AtomicBool::new(true),
             hosts_known: AtomicBool::new(false),
             reads_store: AtomicBool::new(false),
@@ -459,7 +460,25 @@
 
     /// Whether the process has been asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.borrow().is_some()
+    }
+
+    /// Whether a request that is not passed on yet may still be, as far as a planned stop allows it.
+    fn may_begin(&self, now: Moment, deadline: Option<Moment>) -> bool {
+        let schedule = self.stop.borrow();
+        schedule.is_none_or(|schedule| schedule.may_begin(now, deadline))
+    }
+
+    /// Completes at the end of a planned stop, when requests in flight get their final answer.
+    async fn wait_for_stop_end(&self) {
+        let mut stop = self.stop.subscribe();
+        let schedule = match stop.wait_for(Option::is_some).await {
+            Ok(schedule) => *schedule,
+            Err(_) => None,
+        };
+        if let Some(schedule) = schedule {
+            tokio::time::sleep(self.now().until(schedule.end)).await;
+        }
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -137,26 +137,50 @@
 ) -> Result<Response<Body>, Refusal> {
     let flight = forwarder.shared.start_request();
     let shared = forwarder.shared.clone();
+    let received = before_stop_end(&shared, receive(&shared, request, arrived)).await;
+    let job = received.unwrap_or_else(|| Err(log_refusal(&shared, None, stop_refusal())))?;
+    forward(forwarder, job, flight).await
+}
+
+/// Result of a step; `None` if a planned stop ends first.
+async fn before_stop_end<T>(shared: &Shared, step: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        result = step => Some(result),
+        () = shared.wait_for_stop_end() => None,
+    }
+}
+
+fn stop_refusal() -> Refusal {
+    reply::stop_refusal(rand::random())
+}
+
+/// Reads and admits a request.
+async fn receive(shared: &Shared, request: Request<Incoming>, arrived: Moment) -> Result<Job, Refusal> {
     let (parts, body) = request.into_parts();
     let metadata = shared.adapter.parse_request(&parts);
     let caller_timeout = metadata.as_ref().ok().and_then(|metadata| metadata.timeout);
     let mut held = shared.hold();
     let body = body::read_request(
         body,
-        current_limits(&shared).body_bytes,
+        current_limits(shared).body_bytes,
         caller_timeout.unwrap_or(DEFAULT_BODY_TIMEOUT),
         &mut held,
     )
     .await;
-    let metadata = metadata.map_err(|kind| log_refusal(&shared, None, Refusal::new(kind)))?;
+    let metadata = metadata.map_err(|kind| log_refusal(shared, None, Refusal::new(kind)))?;
     let body =
-        body.map_err(|kind| log_refusal(&shared, Some(&metadata), body_refusal(kind, caller_timeout)))?;
-    wait_for_start(&shared, caller_timeout).await;
-    let admission = admit(&shared, &parts, &metadata)
-        .map_err(|refusal| log_refusal(&shared, Some(&metadata), refusal))?;
+        body.map_err(|kind| log_refusal(shared, Some(&metadata), body_refusal(kind, caller_timeout)))?;
+    wait_for_start(shared, caller_timeout).await;
+    let admission =
+        admit(shared, &parts, &metadata).map_err(|refusal| log_refusal(shared, Some(&metadata), refusal))?;
+    let deadline = deadline(arrived, &metadata, &admission);
+    if !shared.may_begin(shared.now(), deadline) {
+        return Err(log_refusal(shared, Some(&metadata), stop_refusal()));
+    }
     let content = job::content(&parts, &metadata, admission.customer.as_deref(), &body);
-    let job = Job {
-        deadline: deadline(arrived, &metadata, &admission),
+    Ok(Job {
+        deadline,
         suspects: crash::suspects(&admission.service, &metadata.prompt_segments, content),
         content,
         parts,
@@ -165,8 +189,7 @@
         held,
         admission,
         arrived,
-    };
-    forward(forwarder, job, flight).await
+    })
 }
 
 /// Forwards an admitted request, and records its metrics and log line.
@@ -176,28 +199,32 @@
     flight: InFlightGuard,
 ) -> Result<Response<Body>, Refusal> {
     let shared = forwarder.shared.clone();
-    let probe = crashes::admit(&shared, &forwarder.store, &job)
+    let probe = before_stop_end(&shared, crashes::admit(&shared, &forwarder.store, &job))
         .await
+        .unwrap_or_else(|| Err(stop_refusal()))
         .map_err(|refusal| log_refusal(&shared, Some(&job.metadata), refusal))?;
     let mut log = AttemptLog {
         probe,
         ..AttemptLog::default()
     };
     if origins::is_take_up(&job) {
-        log.origin = origins::find(&shared, &forwarder.store, &mut job)
+        log.origin = before_stop_end(&shared, origins::find(&shared, &forwarder.store, &mut job))
             .await
+            .unwrap_or_else(|| Err(stop_refusal()))
             .map_err(|refusal| log_refusal(&shared, Some(&job.metadata), refusal))?;
     }
     let job = Arc::new(job);
-    let result = match job.is_stream() {
-        true => {
-            forwarder
-                .clone()
-                .forward_stream(job.clone(), &mut log, flight)
-                .await
+    let attempts = async {
+        match job.is_stream() {
+            true => {
+                let forwarder = forwarder.clone();
+                forwarder.forward_stream(job.clone(), &mut log, flight).await
+            }
+            false => forwarder.forward_buffered(&job, &mut log).await,
         }
-        false => forwarder.forward_buffered(&job, &mut log).await,
     };
+    let result = before_stop_end(&shared, attempts).await;
+    let result = result.unwrap_or_else(|| Err(forwarder.stop_refusal(&job, &log)));
     let now = shared.now();
     let after_ms = now.since(job.arrived).as_millis() as u64;
     let (outcome, status) = match &result {
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -35,7 +35,7 @@
 use super::crashes;
 use super::held::{Held, HeldBody};
 use super::job::{AttemptLog, Job};
-use super::reply::{retry_after, retry_after_wait};
+use super::reply::{self, retry_after, retry_after_wait};
 use super::slot::Slot;
 use super::stream::copies::Handle;
 use crate::upstream::attempts;
@@ -218,7 +218,7 @@
         // Last check before bytes are sent: connecting may have taken long, the
         // process may have been suspended, the runner may have started to drain.
         let now = self.shared.now();
-        self.check_before_send(now, job, &slot, log)?;
+        self.check_before_send(now, job, after, &slot, log)?;
         slot.copy = self.place_copy(now, job, &slot);
         let request = self.build_request(now, job, after, &slot);
         slot.sent_at = Some(now);
@@ -276,16 +276,22 @@
     }
 
     /// Checks that the request may still be sent to this runner.
+    ///
+    /// A stream that has begun here (`after` is its last event) goes on in a planned stop: its caller loses nothing by it.
     fn check_before_send(
         &self,
         now: Moment,
         job: &Job,
+        after: Option<u64>,
         slot: &Slot,
         log: &AttemptLog,
     ) -> Result<(), AttemptError> {
         if job.is_expired(now) {
             return Err(AttemptError::Final(self.deadline_refusal(job, log)));
         }
+        if after.is_none() && !self.shared.may_begin(now, job.deadline) {
+            return Err(AttemptError::Final(self.stop_refusal(job, log)));
+        }
         let allowed = crashes::check(&self.shared, job, log.probe.filter(|_| log.history.sends() == 0))
             .and_then(|()| {
                 let state = self.shared.state();
@@ -481,6 +487,14 @@
         }
     }
 
+    /// Refusal for a request that does not begin, or goes on no longer, as this host stops.
+    pub fn stop_refusal(&self, job: &Job, log: &AttemptLog) -> Refusal {
+        match log.history.may_have_begun() {
+            true => self.upstream_refusal(job),
+            false => reply::stop_refusal(rand::random()),
+        }
+    }
+
     /// Refusal for a request that may have run.
     fn upstream_refusal(&self, job: &Job) -> Refusal {
         match job.is_expired(self.shared.now()) {
--- a/crates/entry/src/proxy/reply.rs
+++ b/crates/entry/src/proxy/reply.rs
@@ -10,7 +10,7 @@
 };
 use hyper::http::response;
 use hyper::{Response, StatusCode};
-use radishstair_core::error::Refusal;
+use radishstair_core::error::{Kind, Refusal};
 
 /// Error of a body that ends early. The connection is closed without the last
 /// chunk, so that the response cannot be taken for complete.
@@ -117,6 +117,16 @@
     longest.min(MAX_RETRY_AFTER).mul_f64(spread)
 }
 
+/// Time over which callers are spread that a stopping host refuses: other hosts take them at once.
+const STOP_SPREAD: Duration = Duration::from_millis(50);
+
+/// Refusal of a request, not passed on, that may last longer than the planned stop of this host; `draw` spreads the time to
+/// come back.
+pub fn stop_refusal(draw: u32) -> Refusal {
+    let spread = STOP_SPREAD.mul_f64(f64::from(draw) / f64::from(u32::MAX));
+    Refusal::new(Kind::Stopping).retry_after(spread)
+}
+
 /// Share of the time until runners take requests again over which the callers that were refused are spread.
 const WAIT_SPREAD: f64 = 0.25;
 
--- a/crates/entry/src/proxy/run.rs
+++ b/crates/entry/src/proxy/run.rs
@@ -2,11 +2,11 @@
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
 use anyhow::{Context, Result};
+use radishstair_core::proxy::stop;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::net::{TcpListener, UdpSocket};
@@ -23,14 +23,11 @@
 
 use super::{Shared, accept, admin, collector, crashes, document, gossip, origins, paths, sync, versions};
 
-/// Time for which a stopping host still accepts connections. The load balancer checks
-/// readiness once a second and stops sending callers after two failures, with some delay.
-const STOP_ACCEPT_DELAY: Duration = Duration::from_millis(2_700);
-/// Part of the grace period reserved for publishing the last counts and releasing the lease.
-const RELEASE_RESERVE: Duration = Duration::from_millis(1_100);
 /// Time without a byte after which relayed connections count as idle.
 const RELAY_IDLE_TIME: Duration = Duration::from_secs(1);
-/// Time limit for these last calls to the platform.
+/// Time between two looks at whether a stopping host has anything left to do.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time limit for the last calls to the platform, and for the last answers.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
@@ -69,9 +66,15 @@
     })?;
     tracing::info!(event = "serving", address = %settings.listen);
     wait_for_stop(signals, path, &shared);
-    drain(&shared, &stop);
+    let schedule = begin_stop(&shared);
+    drain(&shared, schedule, &stop);
+    let release_end = Instant::now() + RELEASE_TIMEOUT;
     let _ = finish.send(());
-    let _ = finished.recv_timeout(RELEASE_TIMEOUT);
+    let _ = finished.recv_deadline(release_end);
+    // The last answers are written meanwhile.
+    while shared.in_flight() > 0 && Instant::now() < release_end {
+        thread::sleep(DRAIN_CHECK_INTERVAL);
+    }
     tracing::info!(event = "stopped", in_flight = shared.in_flight());
     Ok(())
 }
@@ -183,20 +186,27 @@
 
 /// Keeps serving until the load balancer has stopped sending callers, then waits for the
 /// requests in flight.
-fn drain(shared: &Shared, stop: &watch::Sender<bool>) {
-    let started_at = Instant::now();
-    let grace = Duration::from_secs(shared.settings.load().bounds.grace_s);
-    tracing::info!(event = "stopping", in_flight = shared.in_flight());
-    shared.stopping.store(true, Ordering::SeqCst);
-    thread::sleep(STOP_ACCEPT_DELAY.min(grace / 2));
+fn drain(shared: &Shared, schedule: stop::Schedule, stop: &watch::Sender<bool>) {
+    thread::sleep(shared.now().until(schedule.accept_end));
     stop.send_replace(true);
-    let drain_until = started_at + grace.saturating_sub(RELEASE_RESERVE);
     let is_busy = || shared.in_flight() > 0 || shared.is_relaying(shared.now(), RELAY_IDLE_TIME);
-    while is_busy() && Instant::now() < drain_until {
-        thread::sleep(Duration::from_millis(50));
+    while is_busy() && !shared.now().reached(schedule.end) {
+        thread::sleep(DRAIN_CHECK_INTERVAL);
+    }
+    if shared.in_flight() > 0 {
+        tracing::warn!(event = "stop-limit-reached", in_flight = shared.in_flight());
     }
 }
 
+/// Begins a planned stop.
+fn begin_stop(shared: &Shared) -> stop::Schedule {
+    let grace = Duration::from_secs(shared.settings.load().bounds.grace_s);
+    let schedule = stop::Schedule::new(shared.now(), grace);
+    tracing::info!(event = "stopping", in_flight = shared.in_flight());
+    shared.stop.send_replace(Some(schedule));
+    schedule
+}
+
 fn runtime() -> Result<Runtime> {
     Builder::new_current_thread()
         .enable_all()
--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -250,8 +250,19 @@
             }
             segment.start_timing(self.shared.now());
             let mut run = Run::new(segment.holder());
+            let stop_end = self.shared.wait_for_stop_end();
+            tokio::pin!(stop_end);
             loop {
-                let progress = match segment.next(&job, &self.shared).await {
+                let next = tokio::select! {
+                    biased;
+                    next = segment.next(&job, &self.shared) => next,
+                    () = &mut stop_end => {
+                        end_log.outcome = "stopped";
+                        yield Err(Truncated);
+                        return;
+                    }
+                };
+                let progress = match next {
                     Progress::Silent if !job.is_at_most_once() => match self.outlast_silence(&job, &mut segment, &mut log).await {
                         Outcome::First(progress) => {
                             segment.skip_pause();
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -37,6 +37,7 @@
 mod segment;
 mod software;
 mod start;
+mod stop;
 mod takeover;
 mod usage;
 mod waiting;
--- a/tests/suite/repeat.rs
+++ b/tests/suite/repeat.rs
@@ -136,3 +136,20 @@
         TestResult::passed()
     }
 }
+
+/// Guards against a promise that a request has not run while a runner may be working on it.
+#[test]
+fn what_is_sent_may_have_begun_until_its_runner_says_otherwise() {
+    let mut history = History::<u32>::default();
+    assert!(!history.may_have_begun());
+    history.record_send();
+    assert!(history.may_have_begun() && !history.may_have_run());
+    history.record_failure(&POSTING, Fault::NotRun, false, || true);
+    assert!(!history.may_have_begun());
+    history.record_send();
+    history.revert_send();
+    assert!(!history.may_have_begun());
+    history.record_send();
+    history.record_failure(&POSTING, Fault::MayHaveRun, false, || true);
+    assert!(history.may_have_begun());
+}
