Wait in a planned stop for callers that still read their answers

Cause: a buffered request counts as in flight until its answer is handed to its connection, not until the caller has it.

Change: a stop waits for the open connections of callers. Idle ones close as soon as the host stops accepting, the others once their last answer is written. Answers that are given at the end of the stop have 300 ms to be written.

--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -159,6 +159,8 @@
     memory: Arc<held::Quota>,
     /// Number of requests in flight.
     active_requests: in_flight::Counter,
+    /// Number of open connections of callers.
+    open_connections: in_flight::Counter,
     /// Addresses of all live hosts, this one included.
     peers: ArcSwap<Vec<SocketAddr>>,
     /// Time that this host's last listing of the store took, in microseconds.
@@ -228,6 +230,7 @@
             traffic: OnceLock::new(),
             memory,
             active_requests: in_flight::Counter::default(),
+            open_connections: in_flight::Counter::default(),
             peers: ArcSwap::default(),
             full_transfers: Arc::new(Semaphore::new(full_transfers)),
             listing_us: AtomicU64::new(0),
@@ -491,6 +494,11 @@
         self.active_requests.get()
     }
 
+    /// Number of open connections of callers.
+    fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
     /// Memory held for callers, in bytes.
     pub fn held_bytes(&self) -> u64 {
         self.memory.held()
--- a/crates/entry/src/proxy/accept.rs
+++ b/crates/entry/src/proxy/accept.rs
@@ -36,8 +36,8 @@
 /// Smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
-/// A connection and its part of the limit on open connections.
-type Connection = (TcpStream, OwnedSemaphorePermit);
+/// A connection, its part of the limit on open connections, and its part of their number.
+type Connection = (TcpStream, OwnedSemaphorePermit, InFlightGuard);
 
 /// Accepts connections until `stop` becomes true. Connections that are open then
 /// close after their current request.
@@ -46,11 +46,11 @@
     let permits = Arc::new(Semaphore::new(max_connections));
     let mut intake: Intake<Connection> = Intake::default();
     let mut stopped = stop.clone();
-    let start = |(stream, permit): Connection| {
+    let start = |(stream, permit, open): Connection| {
         let (forwarder, stop) = (forwarder.clone(), stop.clone());
         tokio::spawn(async move {
             serve_connection(forwarder, stream, stop).await;
-            drop(permit);
+            drop((permit, open));
         });
     };
     loop {
@@ -64,7 +64,10 @@
         match accepted {
             Some(Ok((stream, _))) => {
                 match permits.clone().try_acquire_owned() {
-                    Ok(permit) => intake.join(shared.now(), (stream, permit)),
+                    Ok(permit) => {
+                        let open = shared.open_connections.track();
+                        intake.join(shared.now(), (stream, permit, open));
+                    }
                     Err(_) => _ = shared.metrics.refused_connections.inc(),
                 }
                 continue;
--- a/crates/entry/src/proxy/run.rs
+++ b/crates/entry/src/proxy/run.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use anyhow::{Context, Result};
 use radishstair_core::proxy::stop;
@@ -25,9 +25,11 @@
 
 /// Time without a byte after which relayed connections count as idle.
 const RELAY_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Time for the last answers to reach their callers.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Time between two looks at whether a stopping host has anything left to do.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time limit for the last calls to the platform, and for the last answers.
+/// Time limit for the last calls to the platform.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
@@ -68,11 +70,10 @@
     wait_for_stop(signals, path, &shared);
     let schedule = begin_stop(&shared);
     drain(&shared, schedule, &stop);
-    let release_end = Instant::now() + RELEASE_TIMEOUT;
     let _ = finish.send(());
-    let _ = finished.recv_deadline(release_end);
-    // The last answers are written meanwhile.
-    while shared.in_flight() > 0 && Instant::now() < release_end {
+    let _ = finished.recv_timeout(RELEASE_TIMEOUT);
+    // The last answers may still be on their way to callers.
+    while shared.open_connections() > 0 && !shared.now().reached(schedule.end + ANSWER_TIME) {
         thread::sleep(DRAIN_CHECK_INTERVAL);
     }
     tracing::info!(event = "stopped", in_flight = shared.in_flight());
@@ -184,12 +185,12 @@
     tracing::info!(event = "settings-reloaded", why);
 }
 
-/// Keeps serving until the load balancer has stopped sending callers, then waits for the
-/// requests in flight.
+/// Keeps serving until the load balancer has stopped sending callers, then waits until callers have their answers: a
+/// connection closes once its last answer is written.
 fn drain(shared: &Shared, schedule: stop::Schedule, stop: &watch::Sender<bool>) {
     thread::sleep(shared.now().until(schedule.accept_end));
     stop.send_replace(true);
-    let is_busy = || shared.in_flight() > 0 || shared.is_relaying(shared.now(), RELAY_IDLE_TIME);
+    let is_busy = || shared.open_connections() > 0 || shared.is_relaying(shared.now(), RELAY_IDLE_TIME);
     while is_busy() && !shared.now().reached(schedule.end) {
         thread::sleep(DRAIN_CHECK_INTERVAL);
     }
