Pause runners whose answers end early on the way through peers

Cause: three answers in a row that end early pause a runner, but on the way through peers nothing counted them.

Change: they are counted there too. A peer that ends breaks off all that it relays, which says nothing about the runners: requests that were under way together count once.

--- a/crates/core/src/proxy/fleet/attempt.rs
+++ b/crates/core/src/proxy/fleet/attempt.rs
@@ -12,10 +12,12 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 /// Backoff of a runner that refused a request because it was full.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
+/// Answers in a row that end early and indicate a fault of the runner: on some days one in fifty does.
+const BROKEN_IN_A_ROW: u32 = 3;
 
 impl Fleet {
-    /// Records the result of an attempt at a runner through a peer.
-    pub fn record_relayed_attempt(&mut self, now: Moment, key: Key, result: AttemptResult) {
+    /// Records the result of an attempt at a runner through a peer, sent at `sent`.
+    pub fn record_relayed_attempt(&mut self, now: Moment, key: Key, sent: Moment, result: AttemptResult) {
         let Some(runner) = self.get_mut(key) else {
             return;
         };
@@ -41,9 +43,11 @@
             AttemptResult::Broken => {
                 runner.belief.doubt(now);
                 runner.record_result(true);
+                runner.relayed.record_broken(now, sent);
             }
             AttemptResult::Silent => {
                 runner.record_result(true);
+                runner.relayed.record_broken(now, sent);
                 self.doubt_silent(now, key);
             }
         }
@@ -96,11 +100,9 @@
     /// Counts an answer that ended early.
     fn record_broken(&mut self, now: Moment) {
         self.record_result(true);
-        // On some days one answer in fifty is broken; only several in a row indicate a fault of the
-        // runner.
         self.failures = (self.failures + 1).min(5);
-        if self.failures >= 3 {
-            self.retry_at = now + backoff(self.failures - 3);
+        if let Some(failures) = self.failures.checked_sub(BROKEN_IN_A_ROW) {
+            self.retry_at = now + backoff(failures);
         }
     }
 }
@@ -116,4 +118,17 @@
         self.retry_at = now + backoff(self.failures);
         self.failures = (self.failures + 1).min(5);
     }
+
+    /// Counts an answer that ended early, to a request that was sent at `sent`. Those that were under way together count
+    /// once, as the peer that relays them may have ended.
+    fn record_broken(&mut self, now: Moment, sent: Moment) {
+        if !sent.reached(self.broken_at) {
+            return;
+        }
+        self.broken_at = now;
+        self.failures = (self.failures + 1).min(5);
+        if let Some(failures) = self.failures.checked_sub(BROKEN_IN_A_ROW) {
+            self.retry_at = now + backoff(failures);
+        }
+    }
 }
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -101,6 +101,8 @@
     pub(super) struct Backoff {
         pub(super) retry_at: Moment,
         pub(super) failures: u32,
+        /// When an answer that ended early was last counted.
+        pub(super) broken_at: Moment,
     }
 }
 
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -103,7 +103,10 @@
         let mut state = self.shared.state();
         match self.way {
             Way::Direct => state.fleet.record_attempt(now, self.key, result),
-            Way::Relayed => state.fleet.record_relayed_attempt(now, self.key, result),
+            Way::Relayed => {
+                let sent = self.sent_at.unwrap_or(now);
+                state.fleet.record_relayed_attempt(now, self.key, sent, result);
+            }
         }
     }
 
--- a/tests/suite/proxy/holdoff.rs
+++ b/tests/suite/proxy/holdoff.rs
@@ -119,7 +119,7 @@
             4 => self
                 .host
                 .fleet
-                .record_relayed_attempt(now, key, AttemptResult::Full),
+                .record_relayed_attempt(now, key, now, AttemptResult::Full),
             5 => self.host.fleet.record_attempt(now, key, AttemptResult::Broken),
             6 => {
                 self.is_listed = !self.is_listed;
--- a/tests/suite/proxy/relay.rs
+++ b/tests/suite/proxy/relay.rs
@@ -325,14 +325,14 @@
     };
     state
         .fleet
-        .record_relayed_attempt(at(10), e0, AttemptResult::Unreachable);
+        .record_relayed_attempt(at(10), e0, at(10), AttemptResult::Unreachable);
     assert_eq!(usable(&state, 20), (true, false));
     fail(&mut state, 30, "e0");
     assert_eq!(usable(&state, 40), (false, false));
     assert_eq!(usable(&state, 420), (false, true));
     state
         .fleet
-        .record_relayed_attempt(at(430), e0, AttemptResult::Succeeded);
+        .record_relayed_attempt(at(430), e0, at(430), AttemptResult::Succeeded);
     assert_eq!(
         usable(&state, 429),
         (false, true),
@@ -445,3 +445,35 @@
         true
     }
 }
+
+/// Guards against a faulty runner that gets each request through a peer, however often its answers end early.
+#[test]
+fn a_runner_whose_relayed_answers_end_early_is_paused() {
+    let mut state = host();
+    let key = key(&state, "e0");
+    let is_available = |state: &State, ms| {
+        let runner = state.fleet.get(key).expect("a listed runner");
+        runner.is_available(at(ms), Way::Relayed)
+    };
+    let broken = |state: &mut State, ms: u64, sent: u64| {
+        let result = AttemptResult::Broken;
+        state.fleet.record_relayed_attempt(at(ms), key, at(sent), result);
+    };
+    // A peer that ends breaks off all that it relays.
+    (0..8).for_each(|_| broken(&mut state, 100, 50));
+    assert!(is_available(&state, 101));
+    broken(&mut state, 200, 110);
+    assert!(is_available(&state, 201));
+    broken(&mut state, 300, 210);
+    assert!(!is_available(&state, 301));
+    assert!(is_available(&state, 701));
+    broken(&mut state, 800, 710);
+    assert!(!is_available(&state, 1_500));
+    assert!(is_available(&state, 1_601));
+    let result = AttemptResult::Succeeded;
+    state
+        .fleet
+        .record_relayed_attempt(at(1_700), key, at(1_650), result);
+    broken(&mut state, 1_800, 1_750);
+    assert!(is_available(&state, 1_801));
+}
