Never believe a host's watch of the versions against the register

Cause: where the register in the store had several versions, the host fell back to its own watch of the list, which counts as complete while two lists are less than 2.5 s apart. A version that is still registered gets streams as soon as it is listed, so it can come, begin streams and leave within that time.

Change: the watch counts only if the register, read since the request came, has no other version.

--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -350,7 +350,11 @@
         }
         let since = now.saturating_sub(origin::life(route.timeout));
         let is_life_known = self.route_history.has_only_present_timeout(now, &route.name);
-        let watched = || self.fleet.only_version_between(since, arrived, service);
+        let watched = || {
+            let version = self.fleet.only_version_between(since, arrived, service)?;
+            let is_only = self.fleet.registers_no_other(arrived, service, version);
+            is_only.then_some(version)
+        };
         let registered = self.fleet.only_registered(unix_ms, arrived, service);
         registered.or_else(|| is_life_known.then(watched).flatten())
     }
--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -160,6 +160,15 @@
             .is_some_and(|row| row.versions.len() == 1)
     }
 
+    /// Whether the register, as it was read after `until`, has no other version of a service.
+    ///
+    /// A host may not have seen a version that came and went while it stood still or was cut off; no stream can have begun
+    /// at that version without it being registered.
+    pub fn registers_no_other(&self, until: Moment, service: &str, version: Version) -> bool {
+        let row = self.register.row(service);
+        self.is_register_read(until) && row.is_none_or(|row| row.versions == [version.0])
+    }
+
     /// The only version of a service that can have begun a stream before `until`, according to the register as it was
     /// read after that.
     pub fn only_registered(&self, unix_ms: u64, until: Moment, service: &str) -> Option<Version> {
--- a/tests/suite/proxy/register.rs
+++ b/tests/suite/proxy/register.rs
@@ -263,3 +263,21 @@
         None
     );
 }
+
+/// Guards against a host that has not seen a version come and go, and takes the one that it knows for the only one, though
+/// the register has both.
+#[test]
+fn what_a_host_has_seen_does_not_overrule_the_register() {
+    let mut state = host(vec![notes("/notes/", "engines", 15)]);
+    for ms in (1_000..=60_000).step_by(1_000) {
+        list(&mut state.fleet, ms, &[("a", "v1")]);
+    }
+    let head = fixtures::request("");
+    let admission = state.admit(at(60_000), &head).expect("the route is there");
+    let only = |state: &State| state.only_origin(at(60_000), START_MS, at(60_000), &admission);
+    let mut other = Fleet::new("zone-a");
+    list(&mut other, 0, &[("a", "v1"), ("b", "v2")]);
+    let register = next(&other, 0, true).expect("a row to add");
+    state.fleet.read_register(at(60_000), register);
+    assert_eq!(only(&state), None);
+}
