Keep registered versions that a host has not listed itself

What callers would see: streams of two versions joined at any host, as the register names one version only.

Cause: a host that has watched the list for 600 s removes versions from the register that it has not listed in that time. It counts as watching while two lists are less than 2.5 s apart, so a version that came and went while it stood still was removed at its next look, and no other host added it again.

Change: a host notes when it finds a version in the register and keeps it for 600 s from then on. A version that another host has removed within 300 s of its last runner is registered again; half of the time, so that hosts which remove it a moment apart do not undo each other.

In memory only: a live run would have to last over ten minutes.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -80,6 +80,8 @@
     register: register::Register,
     /// When the call was sent by which it was read last.
     register_read: Option<Moment>,
+    /// Versions in it, sorted, and when this host first found each of them there.
+    registered: Vec<(u64, Moment)>,
 }
 
 impl Fleet {
@@ -105,6 +107,7 @@
             place: brittle::Place::default(),
             register: register::Register::default(),
             register_read: None,
+            registered: Vec::new(),
         }
     }
 
--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -20,6 +20,9 @@
 
 /// Time for which a version stays registered after its last runner has left: no stream lives longer.
 const RETENTION: Duration = origin::MAX_LIFE;
+/// Time after its last runner has left within which a version is registered again if another host has removed it: a
+/// host that missed its runners may have done so.
+const RESTORE: Duration = RETENTION.checked_div(2).expect("the divisor is not zero");
 /// Time after which all hosts have read a new row, and have registered what they used before.
 const SPREAD: Duration = Duration::from_secs(4);
 
@@ -80,6 +83,7 @@
         if register == self.register {
             return false;
         }
+        self.registered = self.found(sent, &register);
         let single = self.register.rows.iter().filter(|row| row.versions.len() == 1);
         let has_several = |row: &Row| row.versions.len() > 1;
         let has_grown = single
@@ -93,8 +97,27 @@
         has_grown
     }
 
+    /// Versions of a register that was read at `sent`, sorted, and when this host first found each of them.
+    fn found(&self, sent: Moment, register: &Register) -> Vec<(u64, Moment)> {
+        let versions = register.rows.iter().flat_map(|row| row.versions.iter().copied());
+        let mut found: Vec<(u64, Moment)> = versions
+            .map(|version| (version, self.found_at(version).unwrap_or(sent)))
+            .collect();
+        found.sort_unstable_by_key(|(version, _)| *version);
+        found
+    }
+
+    /// When this host first found a version in the register.
+    fn found_at(&self, version: u64) -> Option<Moment> {
+        let at = self
+            .registered
+            .binary_search_by_key(&version, |(version, _)| *version);
+        Some(self.registered[at.ok()?].1)
+    }
+
     /// The register as it should be for these services, if it is not: a version that a runner has is added, and one that
-    /// no runner has had for long is removed. `is_first_start`: no stream can have begun before this host's start.
+    /// no runner has had for long is removed. A host may have missed the runners of a version that it finds there, and then
+    /// keeps it for as long. `is_first_start`: no stream can have begun before this host's start.
     pub fn next_register(
         &self,
         now: Moment,
@@ -130,11 +153,13 @@
         let since = now.saturating_sub(RETENTION);
         let is_watched = self.watched_since.is_some_and(|from| since.reached(from));
         let served = self.versions_since(since, &row.service);
+        let is_found_since = |version: u64| self.found_at(version).is_none_or(|found| !since.reached(found));
         if is_watched && !served.is_empty() {
             row.versions
-                .retain(|version| served.binary_search(version).is_ok());
+                .retain(|version| served.binary_search(version).is_ok() || is_found_since(*version));
         }
-        row.versions.extend(self.versions_since(now, &row.service));
+        let restored = self.versions_since(now.saturating_sub(RESTORE), &row.service);
+        row.versions.extend(restored);
         row.versions.sort_unstable();
         row.versions.dedup();
     }
--- a/tests/suite/proxy/register.rs
+++ b/tests/suite/proxy/register.rs
@@ -281,3 +281,44 @@
     state.fleet.read_register(at(60_000), register);
     assert_eq!(only(&state), None);
 }
+
+/// Watches the list over the time for which a version stays registered, and half a minute more.
+fn watch_long(fleet: &mut Fleet, runners: &[(&str, &str)]) -> u64 {
+    let end = 630_000;
+    for ms in (1_000..=end).step_by(1_000) {
+        list(fleet, ms, runners);
+    }
+    end
+}
+
+/// Guards against a host that stood still while a version came and went, and removes it from the register.
+#[test]
+fn a_version_that_others_have_registered_is_not_removed_by_a_host_that_missed_it() {
+    let (mut fleet, register) = first_host(&[("a", "v1")]);
+    let end = watch_long(&mut fleet, &[("a", "v1")]);
+    let mut other = fleet_with(&register);
+    list(&mut other, end, &[("a", "v1"), ("b", "v2")]);
+    let register = next(&other, end, false).expect("a version to add");
+    fleet.read_register(at(end + 2_000), register);
+    list(&mut fleet, end + 2_000, &[("a", "v1")]);
+    assert_eq!(next(&fleet, end + 2_000, false), None);
+    assert_eq!(next(&fleet, end + 590_000, false), None);
+}
+
+/// Guards against a version that stays out of the register although a host knows that it has served lately.
+#[test]
+fn a_version_that_was_removed_too_early_is_registered_again() {
+    let (mut fleet, register) = first_host(&[("a", "v1")]);
+    list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
+    list(&mut fleet, 2_000, &[("a", "v1")]);
+    fleet.read_register(at(2_500), register);
+    let again = next(&fleet, 3_000, false).expect("a version to add");
+    fleet.read_register(at(3_500), again);
+    assert_eq!(only(&fleet, 3_000), None);
+}
+
+fn fleet_with(register: &Register) -> Fleet {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.read_register(at(0), register.clone());
+    fleet
+}
