Keep a version registered when its runners restart with another one

What callers would see: once all runners of a service have started again under their ids with another version, a stream of the former version that is taken up without its first attempt goes on at the new one.

Cause: a host that had watched the list for 600 s looked for the versions of that time at the runners as they are now. A runner that was updated in place shows its new version only, so the former one was removed from the register at once, though its streams live for 600 s.

Change: no version of a service is removed for 600 s after one of its runners has changed its version, as the watch of a stream's life knew already.

Measured: a_version_stays_registered_after_its_runners_have_changed_to_another failed before (the register named the new version alone) and passes.

--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -154,7 +154,8 @@
         let is_watched = self.watched_since.is_some_and(|from| since.reached(from));
         let served = self.versions_since(since, &row.service);
         let is_found_since = |version: u64| self.found_at(version).is_none_or(|found| !since.reached(found));
-        if is_watched && !served.is_empty() {
+        // A runner that has started again with another version shows no longer which one it had.
+        if is_watched && !served.is_empty() && !self.has_changed_since(since, &row.service) {
             row.versions
                 .retain(|version| served.binary_search(version).is_ok() || is_found_since(*version));
         }
--- a/crates/core/src/proxy/fleet/software.rs
+++ b/crates/core/src/proxy/fleet/software.rs
@@ -181,13 +181,18 @@
         runners.any(|runner| runner.is_listed(now) || runner.gone_at.is_some_and(was_present))
     }
 
+    /// Whether a runner of a service has started again with another version since then.
+    pub(super) fn has_changed_since(&self, since: Moment, service: &str) -> bool {
+        let has_changed = |runner: &Runner| runner.belief.changed_at.is_some_and(|at| at.reached(since));
+        self.served_since(since, service).any(has_changed)
+    }
+
     /// The version of a service's runners, if no other one can have begun a stream between `since` and
     /// `until`: this host has read the list all the time and has seen only this one.
     pub fn only_version_between(&self, since: Moment, until: Moment, service: &str) -> Option<Version> {
         let watched_since = self.watched_since.filter(|from| since.reached(*from));
         let is_read = watched_since.is_some() && self.last_list.is_some_and(|last| last.reached(until));
-        let has_changed = |runner: &Runner| runner.belief.changed_at.is_some_and(|at| at.reached(since));
-        match !is_read || self.served_since(since, service).any(has_changed) {
+        match !is_read || self.has_changed_since(since, service) {
             true => None,
             false => only(self.served_since(since, service)),
         }
--- a/tests/suite/proxy/register.rs
+++ b/tests/suite/proxy/register.rs
@@ -322,3 +322,21 @@
     fleet.read_register(at(0), register.clone());
     fleet
 }
+
+/// Guards against a version that is removed from the register as soon as its runners have restarted with another one.
+#[test]
+fn a_version_stays_registered_after_its_runners_have_changed_to_another() {
+    let (mut fleet, _) = first_host(&[("a", "v1")]);
+    let end = watch_long(&mut fleet, &[("a", "v1")]);
+    list(&mut fleet, end, &[("a", "v2")]);
+    let register = next(&fleet, end, false).expect("a version to add");
+    fleet.read_register(at(end), register);
+    assert_eq!(only(&fleet, end), None);
+    assert_eq!(next(&fleet, end + 1_000, false), None);
+    for ms in (end + 1_000..=end + 602_000).step_by(1_000) {
+        list(&mut fleet, ms, &[("a", "v2")]);
+    }
+    let register = next(&fleet, end + 602_000, false).expect("a version to remove");
+    fleet.read_register(at(end + 602_000), register);
+    assert_eq!(only(&fleet, end + 602_000), Some(version("v2")));
+}
