Tell peers that a host stops, so that they send nothing more through it

What a caller of another host would see: its request is sent through a stopping peer, on an idle connection from before the signal, and broken off as the peer ends: 502 for a posting whose own host is calm.

Cause: a stopping host refuses to relay new connections, but those that are open stay in the pools of its peers, and nothing tells them. Found on the paths next to the late requests of a planned stop.

Change: packets between hosts say that their sender stops (field 20). A peer that stops counts like one that has lost its path: it is not asked, and idle connections through it are not used.

Measured: a_peer_that_stops_is_not_asked, in memory.

--- a/crates/core/src/proxy/gossip/message.rs
+++ b/crates/core/src/proxy/gossip/message.rs
@@ -209,4 +209,7 @@
     /// Hosts that connect to runners for others, and runners that want nothing from them now.
     #[prost(message, repeated, tag = "19")]
     pub hold_offs: Vec<HoldOff>,
+    /// Whether the sender stops, and relays nothing new.
+    #[prost(bool, tag = "20")]
+    pub is_stopping: bool,
 }
--- a/crates/core/src/proxy/reach.rs
+++ b/crates/core/src/proxy/reach.rs
@@ -225,7 +225,7 @@
         Reached,
         /// It has not reported anything about the service.
         Unknown,
-        /// It has lost its path.
+        /// It has lost its path, or stops.
         Lost,
     }
 }
@@ -240,6 +240,8 @@
         pub lost: Vec<u32>,
         /// Connections that it relays for other hosts.
         pub relayed: u32,
+        /// Whether it stops, and connects to no runners for others.
+        pub is_stopping: bool,
     }
 }
 
@@ -389,7 +391,7 @@
         };
         let hash = short_hash(service);
         let vouch = match () {
-            () if peer.report.lost.contains(&hash) => Vouch::Lost,
+            () if peer.report.is_stopping || peer.report.lost.contains(&hash) => Vouch::Lost,
             () if peer.report.reached.contains(&hash) => Vouch::Reached,
             () => Vouch::Unknown,
         };
@@ -408,6 +410,7 @@
             reached: hashes(&is_reached),
             lost: hashes(&is_lost),
             relayed: 0,
+            is_stopping: false,
         }
     }
 
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -123,6 +123,7 @@
         self.update_zone_hosts();
         packet.link_mbps = self.shared.own_host().link_mbps;
         packet.relayed = self.shared.relayed.open() as u32;
+        packet.is_stopping = self.shared.is_stopping();
         self.reset_for_new_peers();
         let near = self.near_hosts(remote);
         if gossip::uses_summaries(near) {
@@ -307,7 +308,7 @@
     digest(address.to_string().as_bytes())
 }
 
-/// Whether a packet has loads, a usage record, cached prefixes, lost services or limits.
+/// Whether a packet has loads, a usage record, cached prefixes, lost services or limits, or says that its sender stops.
 fn is_informative(packet: &Packet) -> bool {
     let has_load = !packet.loads.is_empty() || !packet.prefixes.is_empty();
     has_load
@@ -315,6 +316,7 @@
         || !packet.lost.is_empty()
         || !packet.limits.is_empty()
         || !packet.hold_offs.is_empty()
+        || packet.is_stopping
 }
 
 /// Packet that announces changes read from the store.
@@ -451,6 +453,7 @@
                     reached: packet.reached.clone(),
                     lost: packet.lost.clone(),
                     relayed: packet.relayed,
+                    is_stopping: packet.is_stopping,
                 };
                 shared.state().reach.record_report(now, peer, report);
                 shared.record_location(Host {
--- a/tests/suite/proxy/relay.rs
+++ b/tests/suite/proxy/relay.rs
@@ -7,7 +7,7 @@
 use radishstair_core::id::Incarnation;
 use radishstair_core::proxy::fleet::{AttemptResult, Key, Listed, Liveness, Stage, Way};
 use radishstair_core::proxy::placement::Demand;
-use radishstair_core::proxy::reach::{Failure, Phase, Reach, Report};
+use radishstair_core::proxy::reach::{Failure, Phase, Reach, Report, Vouch};
 use radishstair_core::proxy::readers::Host;
 use radishstair_core::proxy::relay::{Inputs, Relays, Secret, Tried, is_secret};
 use radishstair_core::proxy::route::{ColdStart, Limits, Table};
@@ -41,6 +41,7 @@
         reached: if reached { vec![hash] } else { Vec::new() },
         lost: if lost { vec![hash] } else { Vec::new() },
         relayed,
+        is_stopping: false,
     }
 }
 
@@ -109,6 +110,25 @@
     assert_eq!(choose(&Relays::default(), &reach, &hosts, &[], 7), None);
 }
 
+/// Guards against requests that are sent through a peer which stops, and are cut as it ends.
+#[test]
+fn a_peer_that_stops_is_not_asked() {
+    let hosts = [peer(0, 1), peer(1, 1), peer(2, 1)];
+    let mut reach = Reach::default();
+    let stopping = Report {
+        is_stopping: true,
+        ..report(true, false, 0)
+    };
+    reach.record_report(at(0), hosts[1].address, stopping);
+    for random in 0..50 {
+        let chosen = choose(&Relays::default(), &reach, &hosts, &[], random);
+        assert_eq!(chosen, Some(hosts[2].address));
+    }
+    // Idle connections through it are not used either.
+    let (vouch, _) = reach.vouch(at(100), hosts[1].address, "engines");
+    assert_eq!(vouch, Vouch::Lost);
+}
+
 /// Guards against a choice by who is alive: peers that reach the service go first, whatever their zone;
 /// those that report nothing are better than none.
 #[test]
