Use no runner for long that was listed since an outage and is missing now

Cause, as traced then: a host back from an outage of the store keeps runners without an entry for 2.3 s, as entries of live runners may have lapsed. It also kept one that a list since the outage had shown.

Change: such a runner is used for one second after the last list that had it, so that an entry which lapses right after the outage can come back with the next heartbeat.

Measured: a_runner_that_was_listed_since_an_outage_is_gone_soon_after_its_entry failed before.

--- a/crates/core/src/proxy/fleet.rs
+++ b/crates/core/src/proxy/fleet.rs
@@ -42,6 +42,9 @@
 /// Time after an outage of the store during which a runner whose entry is missing is used: the
 /// time to be listed again, and a margin for reads that are a moment old.
 const RECOVERY: Duration = Duration::from_millis(2_300);
+/// Time for which a runner is used that was listed since an outage and is missing now: its entry was removed, or it has
+/// just expired, and comes back with the next heartbeat.
+const RELISTED_KEPT: Duration = Duration::from_secs(1);
 /// Silence after which the path to a runner is checked; even a loaded engine seldom needs longer
 /// for a first event.
 const PROBE_AFTER: Duration = Duration::from_millis(800);
@@ -123,7 +126,7 @@
     /// A runner without an entry is gone, except after an outage of the store: entries of live
     /// runners may have expired, and dropping these runners would leave no one to serve requests.
     /// They count as present until the store has been back long enough for them to register
-    /// again.
+    /// again. A runner that has been listed since is gone soon after it is missing.
     pub fn update(&mut self, sent: Moment, items: Vec<Listed>) -> Vec<SocketAddr> {
         // The first list after a start needs no such grace period: entries that expired before are
         // not in it, and an entry that is in it and later missing was removed.
@@ -139,10 +142,12 @@
             runner.cold.read_list(sent);
             runner.belief.read_list(sent);
         }
-        if let Some(gone_at) = self.missing_gone_at(sent) {
-            for runner in &mut self.arena {
-                runner.gone_at = Some(runner.gone_at.map_or(gone_at, |earlier| earlier.min(gone_at)));
-            }
+        let (missing_gone_at, recovered_at) = (self.missing_gone_at(sent), self.recovered_at);
+        for runner in &mut self.arena {
+            let is_relisted = recovered_at.is_some_and(|recovered_at| runner.listed_at.reached(recovered_at));
+            let relisted_gone_at = is_relisted.then(|| sent.max(runner.listed_at + RELISTED_KEPT));
+            let possible = [runner.gone_at, missing_gone_at, relisted_gone_at];
+            runner.gone_at = possible.into_iter().flatten().min();
         }
         items
             .into_iter()
@@ -183,6 +188,7 @@
         let is_same_version = runner.listed.software.version == item.software.version;
         let previous = runner.listed.address;
         runner.gone_at = None;
+        runner.listed_at = sent;
         if runner.listed.version != item.version || !is_same_process {
             runner.cold.read_entry(sent, item.cold_for);
         }
@@ -232,6 +238,7 @@
             for_long_prompts: false,
             idle: None,
             gone_at: None,
+            listed_at: first_seen,
             replaced: false,
             retry_at: Moment::default(),
             failures: 0,
--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -206,6 +206,8 @@
         pub idle: Option<Idle>,
         /// When it stops counting as present because its entry is missing.
         pub(super) gone_at: Option<Moment>,
+        /// When the last list was sent that had it.
+        pub(super) listed_at: Moment,
         pub(super) replaced: bool,
         pub(super) retry_at: Moment,
         pub(super) failures: u32,
--- a/tests/suite/proxy/fleet.rs
+++ b/tests/suite/proxy/fleet.rs
@@ -61,6 +61,23 @@
     assert_eq!(available(&fleet, 4_001), ["b"]);
 }
 
+/// Guards against requests to a runner that left right after an outage of the store, though a list since had shown it.
+#[test]
+fn a_runner_that_was_listed_since_an_outage_is_gone_soon_after_its_entry() {
+    let mut fleet = Fleet::new("zone-a");
+    fleet.update(at(0), listed(&["a", "b", "c"]));
+    fleet.update(at(4_000), listed(&["a", "b"]));
+    fleet.update(at(4_300), listed(&["a"]));
+    assert_eq!(available(&fleet, 4_900), ["a", "b", "c"]);
+    assert_eq!(
+        available(&fleet, 5_100),
+        ["a", "c"],
+        "c may have lapsed in the outage"
+    );
+    fleet.update(at(6_400), listed(&["a"]));
+    assert_eq!(available(&fleet, 6_500), ["a"]);
+}
+
 /// A runner that is shutting down gets no new requests but still counts as present.
 #[test]
 fn a_draining_runner_gets_nothing_new() {
