Take no connection on which a former body is still to be written

Cause: a connection returns to the pool once its answer was read, and taking it waited for the HTTP client to be ready for the next request, without a limit.

Change: a connection that is not ready within 10 ms is closed and the next one taken, or a new one opened.

--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -34,6 +34,9 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEP_ALIVE_PROBES: u32 = 7;
 
+/// Time for which a connection may take to become ready after its last answer was read to the end.
+const READY_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// A connection. Dropping it resets it, which cancels the request in progress.
 #[derive(Debug)]
 pub struct Connection {
@@ -94,8 +97,12 @@
     }
 
     /// Whether the connection is open and ready for a request.
+    ///
+    /// It is not ready while bytes of the former request wait to be written, as its answer came early and the other side
+    /// reads on later or never.
     pub async fn is_usable(&mut self) -> bool {
-        !self.sender.is_closed() && self.sender.ready().await.is_ok()
+        let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
+        !self.sender.is_closed() && matches!(ready, Ok(Ok(())))
     }
 
     /// Sends a request and waits for the head of the answer.
