Log on which connection a runner's refusal came, and how soon

The log could not tell whether a refusal that stands where a runner ran the request came on the connection of a former refusal: runner-refused and answer-not-own named neither the connection nor the time since the request was sent. Now both have connection (its number in the process), exchange (requests sent on it) and after_us.

--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -346,13 +346,13 @@
         let (parts, body) = response.into_parts();
         let provenance = self.shared.adapter.parse_response(&parts);
         if provenance.request_id.as_deref() != Some(job.metadata.id.as_str()) {
-            return Err(reject_answer(job, &slot, &parts, &provenance));
+            return Err(reject_answer(job, &slot, &parts, &provenance, &connection));
         }
         slot.record_response(now);
         let answer = answer_kind(&parts, &provenance);
         slot.record_notices(now, job, answer, &provenance.notices);
         if provenance.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
-            let fault = self.record_refusal(job, &slot, &parts, &provenance);
+            let fault = self.record_refusal(job, &slot, &parts, &provenance, &connection);
             let drained = timeout(DRAIN_TIMEOUT, Limited::new(body, 64 * 1024).collect()).await;
             if matches!(drained, Ok(Ok(_))) {
                 self.return_connection(&slot, connection);
@@ -360,7 +360,7 @@
             return Err(AttemptError::Failed(fault));
         }
         if !is_usable(&parts, &provenance) {
-            return Err(reject_answer(job, &slot, &parts, &provenance));
+            return Err(reject_answer(job, &slot, &parts, &provenance, &connection));
         }
         Ok(RunnerResponse {
             slot,
@@ -378,6 +378,7 @@
         slot: &Slot,
         parts: &response::Parts,
         provenance: &Provenance,
+        connection: &ResponseConnection,
     ) -> Fault {
         let (attempt, fault) = match parts.status {
             StatusCode::MISDIRECTED_REQUEST => (AttemptResult::Replaced, Fault::OtherRunner),
@@ -392,6 +393,9 @@
             request = job.metadata.id,
             runner = slot.id,
             status = parts.status.as_u16(),
+            connection = connection.connection().number(),
+            exchange = connection.connection().exchanges(),
+            after_us = slot.sent_for_us(self.shared.now()),
             wait_ms = provenance.notices.hold_off.wait_ms()
         );
         fault
@@ -546,13 +550,22 @@
 /// Rejects an answer that names another request, or that a caller cannot use.
 ///
 /// A surplus response may arrive late, in place of the next request's. The request was sent, so it may have run.
-fn reject_answer(job: &Job, slot: &Slot, parts: &response::Parts, provenance: &Provenance) -> AttemptError {
+fn reject_answer(
+    job: &Job,
+    slot: &Slot,
+    parts: &response::Parts,
+    provenance: &Provenance,
+    connection: &ResponseConnection,
+) -> AttemptError {
     slot.record_attempt(AttemptResult::Broken);
     tracing::warn!(
         event = "answer-not-own",
         request = job.metadata.id,
         runner = slot.id,
         status = parts.status.as_u16(),
+        connection = connection.connection().number(),
+        exchange = connection.connection().exchanges(),
+        after_us = slot.sent_for_us(slot.shared.now()),
         answers = provenance.request_id,
         signed = provenance.signed
     );
--- a/crates/entry/src/proxy/slot.rs
+++ b/crates/entry/src/proxy/slot.rs
@@ -50,6 +50,12 @@
 }
 
 impl Slot {
+    /// Time since the request was sent to the runner, in microseconds, for log lines.
+    pub(super) fn sent_for_us(&self, now: Moment) -> Option<u64> {
+        let sent_for = self.sent_at.map(|sent_at| now.since(sent_at));
+        sent_for.map(|time| time.as_micros() as u64)
+    }
+
     /// Records that prefill has finished, as the first event arrived.
     pub fn finish_prefill(&mut self) {
         let now = self.shared.now();
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -99,6 +99,11 @@
 }
 
 impl ResponseConnection {
+    /// The connection.
+    pub fn connection(&self) -> &Connection {
+        &self.connection
+    }
+
     /// Returns the connection to the pool, unless the runner will close it.
     ///
     /// The answer must have been read to its end.
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 client connection to a runner or to the platform.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -45,6 +46,10 @@
     task: AbortHandle,
     /// Peer that relays it.
     relay: Option<SocketAddr>,
+    /// Number in this process, for log lines.
+    number: u64,
+    /// Requests that were sent on it.
+    exchanges: u32,
 }
 
 /// Result of sending a request.
@@ -83,7 +88,10 @@
             // An error also reaches whoever waits for the answer.
             let _ = connection.await;
         });
+        static NUMBER: AtomicU64 = AtomicU64::new(1);
         Ok(Self {
+            number: NUMBER.fetch_add(1, Ordering::Relaxed),
+            exchanges: 0,
             sender,
             allowance,
             task: task.abort_handle(),
@@ -96,6 +104,16 @@
         self.relay
     }
 
+    /// Number in this process, for log lines.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Requests that were sent on it.
+    pub fn exchanges(&self) -> u32 {
+        self.exchanges
+    }
+
     /// Whether the connection is open and ready for a request.
     ///
     /// It is not ready while bytes of the former request wait to be written, as its answer came early and the other side
@@ -108,6 +126,7 @@
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
         self.allowance.limit();
+        self.exchanges += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
