Send no request id twice on one connection

Callers of postings and of streams that may not be resumed were told 'not run' of what had run, or their request ran at two runners although its route allows one. A runner may send a refusal once more, late, where the next answer on the connection is due; the id in it tells whose it is, unless the same request is under way again on that connection: a caller that posts again with its id, or a runner listed under a former and a present id, whose 421 takes the attempt back. The pool is by address and what was tried by runner, so that the request went out again on the pooled connection of its refusal.

Class: an answer is taken for that of another exchange. What tells exchanges of a connection apart is the id, so a connection now keeps the digests of the ids that it has carried, and the pool gives no connection to a request whose id it has carried. That holds for each answer, not only refusals, and on each way that takes connections from the pool: direct, relayed, resumed, continued, own front. Refusals of other requests keep their connection, so that an overload costs no new ones.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod macros;
 
 pub mod at_most_once;
+pub mod carried;
 pub mod claim;
 pub mod config;
 pub mod dispatch;
--- a/crates/entry/src/proxy/connect.rs
+++ b/crates/entry/src/proxy/connect.rs
@@ -118,11 +118,11 @@
     /// The fault, if the runner cannot be reached; no byte of the request was sent then.
     pub(super) async fn connect(&self, job: &Job, slot: &mut Slot) -> Result<Connection, Fault> {
         let now = self.shared.now();
-        let once = job.is_at_most_once();
+        let demand = job.connection_demand();
         if slot.way == Way::Relayed {
             return self.connect_relayed(now, job, slot).await;
         }
-        if let Some(connection) = self.pool.take_idle(now, slot.address, once, Way::Direct).await {
+        if let Some(connection) = self.pool.take_idle(now, slot.address, demand, Way::Direct).await {
             return Ok(connection);
         }
         let limit = job.time_left(now).unwrap_or(pool::CONNECT_TIMEOUT);
@@ -138,14 +138,14 @@
 
     /// The same for a runner to which this host has lost its path.
     async fn connect_relayed(&self, now: Moment, job: &Job, slot: &mut Slot) -> Result<Connection, Fault> {
-        let once = job.is_at_most_once();
+        let demand = job.connection_demand();
         if self.shared.state().reach.keeps_open(&job.admission.service)
-            && let Some(connection) = self.pool.take_idle(now, slot.address, once, Way::Direct).await
+            && let Some(connection) = self.pool.take_idle(now, slot.address, demand, Way::Direct).await
         {
             slot.way = Way::Direct;
             return Ok(connection);
         }
-        while let Some(connection) = self.pool.take_idle(now, slot.address, once, Way::Relayed).await {
+        while let Some(connection) = self.pool.take_idle(now, slot.address, demand, Way::Relayed).await {
             if self.is_relay_sound(now, &connection, slot.key, &job.admission.service) {
                 return Ok(connection);
             }
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -229,7 +229,7 @@
         }
         let relay = connection.relay();
         slot.relay = relay;
-        let exchange = upstream::exchange(connection, slot.address, request);
+        let exchange = upstream::exchange(connection, slot.address, &job.metadata.id, request);
         let exchanged = async {
             tokio::select! {
                 biased;
@@ -394,7 +394,7 @@
             runner = slot.id,
             status = parts.status.as_u16(),
             connection = connection.connection().number(),
-            exchange = connection.connection().exchanges(),
+            exchange = connection.connection().carried().count(),
             after_us = slot.sent_for_us(self.shared.now()),
             wait_ms = provenance.notices.hold_off.wait_ms()
         );
@@ -564,7 +564,7 @@
         runner = slot.id,
         status = parts.status.as_u16(),
         connection = connection.connection().number(),
-        exchange = connection.connection().exchanges(),
+        exchange = connection.connection().carried().count(),
         after_us = slot.sent_for_us(slot.shared.now()),
         answers = provenance.request_id,
         signed = provenance.signed
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -19,6 +19,7 @@
 
 use super::adapter::Metadata;
 use super::held::Held;
+use crate::upstream::pool;
 
 /// Unreachable runners after which the request is refused.
 const MAX_UNREACHABLE: u32 = 4;
@@ -64,6 +65,14 @@
         !self.admission.route.mode.is_idempotent()
     }
 
+    /// What the request needs of a connection.
+    pub fn connection_demand(&self) -> pool::Demand<'_> {
+        pool::Demand {
+            id: &self.metadata.id,
+            at_most_once: self.is_at_most_once(),
+        }
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(&self) -> bool {
         matches!(self.admission.route.mode, Mode::Stream { .. })
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -31,7 +31,7 @@
 
 use crate::handle::Handle;
 use connection::{Connection, SendResult};
-use pool::Pool;
+use pool::{Demand, Pool};
 
 /// Longest time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -128,15 +128,19 @@
 ) -> Result<Exchange, Failure> {
     let request = build_request(assignment, runner_request)?;
     let address: SocketAddr = assignment.address.parse().map_err(|_| Failure::NotSent)?;
+    let demand = Demand {
+        id: &runner_request.id,
+        at_most_once: false,
+    };
     let connected = match on_new_connection {
         true => Connection::connect(address, CONNECT_TIMEOUT).await,
-        false => pool.acquire(now, address, false, CONNECT_TIMEOUT).await,
+        false => pool.acquire(now, address, demand, CONNECT_TIMEOUT).await,
     };
     let connection = connected.map_err(|_| Failure::NotSent)?;
-    exchange(connection, address, request).await
+    exchange(connection, address, &runner_request.id, request).await
 }
 
-/// Sends a request on the given connection and waits for the head of the answer.
+/// Sends a request on the given connection, which has not carried its id, and waits for the head of the answer.
 ///
 /// # Errors
 ///
@@ -144,8 +148,10 @@
 pub async fn exchange(
     mut connection: Connection,
     address: SocketAddr,
+    id: &str,
     request: Request<Full<Bytes>>,
 ) -> Result<Exchange, Failure> {
+    connection.record_id(id);
     match connection.send(request).await {
         SendResult::Response(response) => Ok(Exchange {
             connection,
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use radishstair_core::carried;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -48,8 +49,7 @@
     relay: Option<SocketAddr>,
     /// Number in this process, for log lines.
     number: u64,
-    /// Requests that were sent on it.
-    exchanges: u32,
+    carried: carried::Ids,
 }
 
 /// Result of sending a request.
@@ -91,7 +91,7 @@
         static NUMBER: AtomicU64 = AtomicU64::new(1);
         Ok(Self {
             number: NUMBER.fetch_add(1, Ordering::Relaxed),
-            exchanges: 0,
+            carried: carried::Ids::default(),
             sender,
             allowance,
             task: task.abort_handle(),
@@ -109,9 +109,14 @@
         self.number
     }
 
-    /// Requests that were sent on it.
-    pub fn exchanges(&self) -> u32 {
-        self.exchanges
+    /// Ids of the requests that were sent on it.
+    pub fn carried(&self) -> &carried::Ids {
+        &self.carried
+    }
+
+    /// Records the id of the request that is sent next.
+    pub fn record_id(&mut self, id: &str) {
+        self.carried.record(id);
     }
 
     /// Whether the connection is open and ready for a request.
@@ -126,7 +131,6 @@
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
         self.allowance.limit();
-        self.exchanges += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -4,6 +4,8 @@
 //! a request is sent at that moment, it may or may not have run. Therefore a
 //! connection is reused only well within that time, and for at-most-once
 //! requests only if it was idle briefly. The most recently used one goes first.
+//! A connection that has carried a request's id is not used for it again, see
+//! [`radishstair_core::carried`].
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -23,6 +25,15 @@
 /// Idle connections kept to one runner.
 const MAX_IDLE_PER_RUNNER: usize = 24;
 
+/// What a request needs of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Whether the request may run at most once.
+    pub at_most_once: bool,
+}
+
 /// A connection with the time since which it is idle.
 #[derive(Debug)]
 struct IdleConnection {
@@ -55,10 +66,10 @@
         &self,
         now: Moment,
         address: SocketAddr,
-        at_most_once: bool,
+        demand: Demand<'_>,
         limit: Duration,
     ) -> Result<Connection> {
-        match self.take_idle(now, address, at_most_once, Way::Direct).await {
+        match self.take_idle(now, address, demand, Way::Direct).await {
             Some(connection) => Ok(connection),
             None => Connection::connect(address, limit.min(CONNECT_TIMEOUT)).await,
         }
@@ -69,10 +80,10 @@
         &self,
         now: Moment,
         address: SocketAddr,
-        at_most_once: bool,
+        demand: Demand<'_>,
         way: Way,
     ) -> Option<Connection> {
-        while let Some(mut connection) = self.pop(now, address, at_most_once, way) {
+        while let Some(mut connection) = self.pop(now, address, demand, way) {
             if connection.is_usable().await {
                 return Some(connection);
             }
@@ -102,7 +113,8 @@
             since: now,
             keep_alive: keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE),
         };
-        if connections.len() < MAX_IDLE_PER_RUNNER && idle.is_usable(now, false) {
+        let is_full = connection.carried().is_full() || connections.len() >= MAX_IDLE_PER_RUNNER;
+        if !is_full && idle.is_usable(now, false) {
             connections.push(IdleConnection { connection, idle });
         }
     }
@@ -135,20 +147,17 @@
             .for_each(|(_, connections)| connections.retain(is_other));
     }
 
-    fn pop(&self, now: Moment, address: SocketAddr, at_most_once: bool, way: Way) -> Option<Connection> {
+    fn pop(&self, now: Moment, address: SocketAddr, demand: Demand<'_>, way: Way) -> Option<Connection> {
         let mut runners = self.lock();
         let at = runners.binary_search_by_key(&address, |(key, _)| *key).ok()?;
         let connections = &mut runners[at].1;
-        let last = connections.iter().rposition(|candidate| candidate.way() == way)?;
-        let idle = connections[last].idle;
-        if idle.is_usable(now, at_most_once) {
-            return Some(connections.remove(last).connection);
-        }
-        if !idle.is_usable(now, false) {
-            // The others were idle for longer.
-            connections.retain(|candidate| candidate.way() != way);
-        }
-        None
+        connections.retain(|candidate| candidate.idle.is_usable(now, false));
+        let may_carry = |candidate: &IdleConnection| {
+            candidate.way() == way && !candidate.connection.carried().contains(demand.id)
+        };
+        let last = connections.iter().rposition(may_carry)?;
+        let is_usable = connections[last].idle.is_usable(now, demand.at_most_once);
+        is_usable.then(|| connections.remove(last).connection)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Vec<IdleConnection>)>> {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod world;
 
 mod calls;
+mod carried;
 mod config;
 mod docs;
 mod duties;
