Close the connection of a misdirected request

Cause: a runner that was replaced in place answers a request for its former id with 421, and may send that refusal once more where the next answer on the connection is due. The connection went back to the pool of the address, where the next request is one for the present runner: it has another id, so that its answer counts as open (502) although it has run, its runner counts as broken, and the connection is closed after all. The refusal also recorded an idle connection for the former id, which led further requests to it.

Change: the connection of a 421 is closed. That costs a connection for each 421; a host sends nothing more to a former id that it has got one from. Refusals of runners that are full keep theirs.

--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -353,9 +353,9 @@
         slot.record_notices(now, job, answer, &provenance.notices);
         if provenance.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
             let fault = self.record_refusal(job, &slot, &parts, &provenance, &connection);
-            let drained = timeout(DRAIN_TIMEOUT, Limited::new(body, 64 * 1024).collect()).await;
-            if matches!(drained, Ok(Ok(_))) {
-                self.return_connection(&slot, connection);
+            // The connection leads to another runner, whose first answer a copy of this one could precede.
+            if fault != Fault::OtherRunner {
+                self.drain(&slot, connection, body).await;
             }
             return Err(AttemptError::Failed(fault));
         }
@@ -448,6 +448,14 @@
         self.update_idle(slot);
     }
 
+    /// Reads a refusal to its end and returns its connection to the pool; closes it if that takes too long.
+    async fn drain(&self, slot: &Slot, connection: ResponseConnection, body: Incoming) {
+        let drained = timeout(DRAIN_TIMEOUT, Limited::new(body, 64 * 1024).collect()).await;
+        if matches!(drained, Ok(Ok(_))) {
+            self.return_connection(slot, connection);
+        }
+    }
+
     /// Updates the runner's idle connection, so that placement can avoid a new one.
     fn update_idle(&self, slot: &Slot) {
         let idle = self.pool.peek(slot.address);
