Keep 128 ids a connection, and name the address of a refusal in the log

With 24 idle connections to each of 1,700 runners, 512 ids of 8 bytes would be 167 MB; 128 are 42 MB, and cost a connection in 128 requests at most. Two runner-refused lines of one request could only be related by the number of the connection: they name the runner that was chosen, which differs where two listings share an address. They have address and relay now.

--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -7,7 +7,7 @@
 use crate::id::digest;
 
 /// Ids that are kept for a connection, 8 bytes each.
-const MAX_IDS: usize = 512;
+const MAX_IDS: usize = 128;
 
 plain! {
     /// The ids, as sorted digests. Ids with the same digest count as one, which only costs another connection.
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -393,6 +393,8 @@
             request = job.metadata.id,
             runner = slot.id,
             status = parts.status.as_u16(),
+            address = %slot.address,
+            relay = slot.relay.map(tracing::field::display),
             connection = connection.connection().number(),
             exchange = connection.connection().carried().count(),
             after_us = slot.sent_for_us(self.shared.now()),
