Let a connection take the place of one that carried the same request

A caller that sends its requests one after the other with the same id got a new connection each time, as no connection carries an id twice, and each of them went to the pool: 25 connections of one host to one runner at the same time, for as long as runners keep idle ones. A runner's limit of connections is shared by all hosts.

Cause: the pool keeps up to 24 idle connections to an address, and nothing that it has passed over for an id was given up.

Change: a connection that comes back to the pool replaces those on the same way that have carried its last request. Another caller opens at most the connection more that this one has taken; what comes back after a request of its own, as usual, replaces none.

--- a/crates/core/src/carried.rs
+++ b/crates/core/src/carried.rs
@@ -14,6 +14,7 @@
     #[derive(Default)]
     pub struct Ids {
         digests: Vec<u64>,
+        last: Option<u64>,
     }
 }
 
@@ -21,6 +22,7 @@
     /// Records that a request with this id is sent.
     pub fn record(&mut self, id: &str) {
         let digest = digest(id.as_bytes());
+        self.last = Some(digest);
         if let Err(at) = self.digests.binary_search(&digest) {
             self.digests.insert(at, digest);
         }
@@ -31,6 +33,13 @@
         self.digests.binary_search(&digest(id.as_bytes())).is_ok()
     }
 
+    /// Whether the last request of another connection was sent on this one too.
+    pub fn contains_last(&self, other: &Ids) -> bool {
+        other
+            .last
+            .is_some_and(|last| self.digests.binary_search(&last).is_ok())
+    }
+
     /// Number of ids.
     pub fn count(&self) -> usize {
         self.digests.len()
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use radishstair_core::carried;
+use radishstair_core::proxy::fleet::Way;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -104,6 +105,14 @@
         self.relay
     }
 
+    /// Whether it is direct.
+    pub fn way(&self) -> Way {
+        match self.relay {
+            Some(_) => Way::Relayed,
+            None => Way::Direct,
+        }
+    }
+
     /// Number in this process, for log lines.
     pub fn number(&self) -> u64 {
         self.number
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -41,15 +41,6 @@
     idle: Idle,
 }
 
-impl IdleConnection {
-    fn way(&self) -> Way {
-        match self.connection.relay() {
-            Some(_) => Way::Relayed,
-            None => Way::Direct,
-        }
-    }
-}
-
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -92,6 +83,9 @@
     }
 
     /// Returns a connection whose answer was read to its end.
+    ///
+    /// It takes the place of one that has carried the same request, so that a caller who keeps its id does not fill the
+    /// pool.
     pub fn release(
         &self,
         now: Moment,
@@ -108,7 +102,11 @@
             }
         };
         let connections = &mut runners[at].1;
-        connections.retain(|candidate| candidate.idle.is_usable(now, false));
+        let is_replaced = |candidate: &IdleConnection| {
+            let carried = candidate.connection.carried();
+            candidate.connection.way() == connection.way() && carried.contains_last(connection.carried())
+        };
+        connections.retain(|candidate| candidate.idle.is_usable(now, false) && !is_replaced(candidate));
         let idle = Idle {
             since: now,
             keep_alive: keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE),
@@ -135,7 +133,8 @@
     pub fn remove_all(&self, addresses: &[SocketAddr], way: Way) {
         let mut runners = self.lock();
         let of_addresses = runners.iter_mut().filter(|(key, _)| addresses.contains(key));
-        of_addresses.for_each(|(_, connections)| connections.retain(|candidate| candidate.way() != way));
+        of_addresses
+            .for_each(|(_, connections)| connections.retain(|candidate| candidate.connection.way() != way));
     }
 
     /// Closes the idle connections that a peer relays.
@@ -153,7 +152,7 @@
         let connections = &mut runners[at].1;
         connections.retain(|candidate| candidate.idle.is_usable(now, false));
         let may_carry = |candidate: &IdleConnection| {
-            candidate.way() == way && !candidate.connection.carried().contains(demand.id)
+            candidate.connection.way() == way && !candidate.connection.carried().contains(demand.id)
         };
         let last = connections.iter().rposition(may_carry)?;
         let is_usable = connections[last].idle.is_usable(now, demand.at_most_once);
--- a/tests/suite/carried.rs
+++ b/tests/suite/carried.rs
@@ -24,3 +24,18 @@
     assert!((100..=1_000).contains(&sent), "{sent}");
     assert!((0..sent).all(|id| ids.contains(&id.to_string())));
 }
+
+/// Guards against connections that are kept although they have carried the same request as another one.
+#[test]
+fn a_connection_knows_the_last_request_of_another_one() {
+    let carried = |sent: &[&str]| {
+        let mut ids = Ids::default();
+        sent.iter().for_each(|id| ids.record(id));
+        ids
+    };
+    let one = carried(&["a", "b", "c"]);
+    assert!(one.contains_last(&carried(&["x", "a"])));
+    assert!(!one.contains_last(&carried(&["a", "x"])));
+    assert!(!one.contains_last(&carried(&[])));
+    assert!(!carried(&[]).contains_last(&one));
+}
