Test that no copy of an engine's refusal is read on the own front

An engine's refusal names no request, and a stream keeps its id when it is sent to another engine. So neither the id nor what a connection has carried tells a copy of a refusal from a refusal; that the connection is closed after each answer other than 200 does. Nothing showed that it is.

Change: the stand-in engine can refuse requests, and sends the refusal once more where the answer to the next request on that connection is due. Streams are refused on connections that have served before, and none meets a copy.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::model;
-use crate::server::{self, Outcome, header_value, json_response};
+use crate::server::{self, ConnectionNumber, Outcome, header_value, json_response};
 
 #[serde_as]
 /// Settings of the stand-in.
@@ -103,6 +103,10 @@
         /// Number of streams to send with another request's id in the chunks.
         #[serde(default)]
         pub cross: u32,
+        /// Number of requests to refuse. A refusal is sent once more where the answer to the next request on its
+        /// connection is due.
+        #[serde(default)]
+        pub refuse: u32,
         /// Factor by which the time per token is multiplied.
         #[serde(default)]
         pub slow: Option<u32>,
@@ -129,6 +133,10 @@
         pub wasted: u64,
         /// Prompts whose prefix was cached.
         pub hits: u64,
+        /// Requests refused.
+        pub refused: u64,
+        /// Refusals that were sent once more.
+        pub copies: u64,
         /// Whether any request had an `authorization` header, which holds a
         /// caller's API key.
         pub saw_key: bool,
@@ -146,6 +154,8 @@
     cache: VecDeque<u64>,
     fault: Fault,
     tally: Tally,
+    /// Connections on which a request was refused.
+    refused: Vec<ConnectionNumber>,
 }
 
 #[derive(Debug)]
@@ -173,6 +183,19 @@
 }
 
 impl State {
+    /// Whether a request on this connection is answered with a refusal, its own or an earlier one.
+    fn refuse(&mut self, connection: ConnectionNumber) -> bool {
+        if self.refused.contains(&connection) {
+            self.tally.copies += 1;
+            return true;
+        }
+        let refuses = self.fault.refuse > 0;
+        self.fault.refuse = self.fault.refuse.saturating_sub(1);
+        self.tally.refused += u64::from(refuses);
+        self.refused.extend(refuses.then_some(connection));
+        refuses
+    }
+
     /// Removes the request that gets a free slot; if there is none, the slot stays free.
     fn take_next(&mut self) -> Option<oneshot::Sender<Slot>> {
         let order = |index: &usize| (self.waiting[*index].0, self.waiting[*index].1);
@@ -274,12 +297,16 @@
     let id = header_value(&request, http::REQUEST_ID);
     let priority = header_value(&request, http::PRIORITY).parse().unwrap_or(u8::MAX);
     let saw_key = request.headers().contains_key("authorization");
+    let connection = request.extensions().get::<ConnectionNumber>().copied();
     let Ok(chat) = serde_json::from_slice::<Chat>(&server::read_body(request).await) else {
         return Ok(json_response(
             400,
             &serde_json::json!({ "error": "malformed body" }),
         ));
     };
+    if connection.is_some_and(|connection| engine.lock().refuse(connection)) {
+        return Ok(json_response(503, &serde_json::json!({ "error": "full" })));
+    }
     let (id, leaving) = {
         let mut state = engine.lock();
         state.tally.begun += 1;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -17,6 +17,10 @@
 /// A response, or an injected fault instead of it.
 pub type Outcome = Result<Response<Body>, Disconnect>;
 
+/// Number of the connection on which a request came; an extension of each request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionNumber(pub u64);
+
 /// Fault that closes the connection without a response.
 #[derive(Debug)]
 pub struct Disconnect;
@@ -71,12 +75,18 @@
         .await
         .with_context(|| format!("listening on {listen}"))?;
     tracing::info!(event = "listening", address = %listen);
+    let mut connections = 0;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
+        connections += 1;
+        let (handle, number) = (handle.clone(), ConnectionNumber(connections));
+        let handle = move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(number);
+            handle(request)
+        };
         tokio::spawn(async move {
             let served = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/tests/suite/live.rs
+++ b/tests/suite/live.rs
@@ -277,6 +277,32 @@
     assert_eq!(posting.status, 200, "{posting:?}");
 }
 
+/// Guards against a stream that is refused by a copy of an engine's earlier refusal, which names no request: an engine that has
+/// refused a request gets no other one on that connection.
+#[test]
+fn an_engine_that_refuses_gets_no_other_request_on_that_connection() {
+    let cluster = cluster().start();
+    let chat = |number: u32| {
+        let body = cluster.chat_body(&format!("refused {number}"), 2);
+        cluster.caller().chat(cluster.entry_address(0), "chat", &body)
+    };
+    for round in 0..2 {
+        // The engines have served on the connections on which they refuse.
+        assert!((0..4).all(|number| chat(number).done));
+        cluster.inject_fault(&cluster.addresses.engines, &json!({ "refuse": 1 }));
+        let answers: Vec<_> = (0..6).map(chat).collect();
+        let done = answers.iter().filter(|answer| answer.done).count();
+        assert!(done >= 5, "{round}: {answers:?}");
+    }
+    let count = |name: &str| -> u64 {
+        let engines = cluster.addresses.engines.iter();
+        let counts = engines.map(|engine| get(*engine, "/control/log")[name].as_u64());
+        counts.map(|count| count.expect("a count")).sum()
+    };
+    assert!(count("refused") >= 2, "{}", count("refused"));
+    assert_eq!(count("copies"), 0);
+}
+
 /// A key is withdrawn while its caller reads a stream. The stream must end with
 /// an error within seconds, further requests with the key are refused, and the
 /// key of the other customer still works.
