Take over a duty whose record cannot be read

Cause: a candidate added 1 to the fencing number of any record. At 2^64-1 that overflows: in a debug build the control thread ends, in a release build the number starts again at 0. A record that cannot be parsed was ignored together with its version, so no write could replace it.

Change: a record that cannot be read, or has a number above 2^53, counts as that of an unknown holder. After the usual wait it is replaced, with a fencing number above the entry's version: each write raises the version, so no former holder can have had a higher one.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -59,6 +59,8 @@
         }
     }
 }
+/// Maximum fencing number, and number of renewals, of a record.
+const MAX_NUMBER: u64 = 1 << 53;
 /// Half the time after which an unanswered store call is abandoned.
 const HALF_ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -78,6 +80,19 @@
     }
 }
 
+impl Record {
+    /// Stands for a record that cannot be read, of which the entry has this version. Nobody renews it. Each write raises
+    /// the version, so that no holder before can have had a higher fencing number.
+    fn unreadable(version: u64) -> Self {
+        Self {
+            holder: Incarnation::default(),
+            fence: version.min(MAX_NUMBER),
+            renewal: 0,
+            released: false,
+        }
+    }
+}
+
 plain! {
     enum Step {
         Idle,
@@ -308,10 +323,9 @@
         if entry.version <= self.version && self.observed.is_some() {
             return;
         }
-        if let Some(record) = parse_record(entry) {
-            self.version = entry.version;
-            self.observed = Some((record, now));
-        }
+        let record = parse_record(entry).unwrap_or_else(|| Record::unreadable(entry.version));
+        self.version = entry.version;
+        self.observed = Some((record, now));
     }
 
     /// Whether a candidate may take over the duty now.
@@ -373,6 +387,8 @@
     }
 }
 
+/// Record in an entry; `None` if another program has written something else.
 fn parse_record(entry: &Entry) -> Option<Record> {
-    serde_json::from_str(&entry.value).ok()
+    let record: Record = serde_json::from_str(&entry.value).ok()?;
+    (record.fence <= MAX_NUMBER && record.renewal <= MAX_NUMBER).then_some(record)
 }
