Start a task of the control thread again if it panics

Cause: the runtime drops a task that panics and goes on with the others. The host then no longer follows what the task read; if the duties panic, the whole control thread ends. Neither stood in the host's log, only on standard error.

Evidence: a live host whose document task had panicked went on with usage reports and its list of runners, refused keys as unknown and, from 3 s on, all requests with keys as its configuration was stale, until the test gave up after 10 s. a_task_that_panics_starts_again is new with the change.

Change: the tasks that read and write the store, the receiver of packets and the duties are run by task::keep, which logs `task-panicked` and starts them again after a second. Other tasks are left: the sender of packets, the collector of counts, and the listeners.

--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -67,6 +67,7 @@
 pub mod slot;
 pub mod stream;
 pub mod sync;
+pub mod task;
 pub mod versions;
 
 /// Number of hosts assumed until the first listing, so that a host that has just started takes a
--- a/crates/entry/src/proxy/duty.rs
+++ b/crates/entry/src/proxy/duty.rs
@@ -70,7 +70,7 @@
     }
 
     /// Runs until `stop` is signalled; then publishes the last counts and releases the lease.
-    pub async fn run(mut self, mut snapshots: mpsc::Receiver<Snapshot>, mut stop: oneshot::Receiver<()>) {
+    pub async fn run(mut self, snapshots: &mut mpsc::Receiver<Snapshot>, stop: &mut oneshot::Receiver<()>) {
         self.records.announce().await;
         loop {
             // The hosts of a zone hand over their counts at nearly the same time, so that they are
@@ -82,7 +82,7 @@
                     None => return,
                 },
                 () = tokio::time::sleep(pause) => {}
-                _ = &mut stop => break,
+                _ = &mut *stop => break,
             }
             self.step().await;
         }
--- a/crates/entry/src/proxy/gossip.rs
+++ b/crates/entry/src/proxy/gossip.rs
@@ -19,7 +19,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-use super::{ASSUMED_HOSTS, Shared, crashes, document, origins};
+use super::{ASSUMED_HOSTS, Shared, crashes, document, origins, task};
 
 /// Maximum size of a datagram; the loads of 1,500 runners fit.
 const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
@@ -43,7 +43,10 @@
 /// Sends and receives packets until the process ends.
 pub async fn run(shared: Arc<Shared>, socket: UdpSocket) {
     let socket = Arc::new(socket);
-    tokio::spawn(receive(shared.clone(), socket.clone()));
+    let (own_shared, own_socket) = (shared.clone(), socket.clone());
+    tokio::spawn(task::keep("gossip-receive", move || {
+        receive(own_shared.clone(), own_socket.clone())
+    }));
     tokio::spawn(send_summaries(shared.clone(), socket.clone()));
     tokio::spawn(origins::send(shared.clone(), socket.clone()));
     tokio::spawn(crashes::run(shared.clone(), socket.clone()));
--- a/crates/entry/src/proxy/run.rs
+++ b/crates/entry/src/proxy/run.rs
@@ -21,7 +21,9 @@
 use super::settings::Settings;
 use crate::upstream::pool::Pool;
 
-use super::{Shared, accept, admin, collector, crashes, document, gossip, origins, paths, sync, versions};
+use super::{
+    Shared, accept, admin, collector, crashes, document, gossip, origins, paths, sync, task, versions,
+};
 
 /// Time without a byte after which relayed connections count as idle.
 const RELAY_IDLE_TIME: Duration = Duration::from_secs(1);
@@ -122,22 +124,50 @@
             let store = Arc::new(Client::default());
             let (snapshots, snapshots_read) = mpsc::channel(1);
             tokio::spawn(collector::run(shared.clone(), store.clone(), waiting_counts));
-            tokio::spawn(sync::probe_store(shared.clone(), store.clone()));
-            tokio::spawn(document::run(shared.clone(), store.clone()));
-            tokio::spawn(crashes::publish(shared.clone(), store.clone()));
-            tokio::spawn(versions::publish(shared.clone(), store.clone()));
-            tokio::spawn(origins::stored::write(shared.clone(), store.clone()));
-            tokio::spawn(origins::stored::read(shared.clone(), store.clone()));
-            tokio::spawn(sync::run(shared.clone(), store.clone(), pool, snapshots));
-            Duty::new(shared, store, counts)
-                .run(snapshots_read, finish_requested)
-                .await;
+            keep_with_store("store-probe", &shared, &store, sync::probe_store);
+            keep_with_store("document", &shared, &store, document::run);
+            keep_with_store("crashes", &shared, &store, crashes::publish);
+            keep_with_store("versions", &shared, &store, versions::publish);
+            keep_with_store("origins-write", &shared, &store, origins::stored::write);
+            keep_with_store("origins-read", &shared, &store, origins::stored::read);
+            let (own_shared, own_store) = (shared.clone(), store.clone());
+            tokio::spawn(task::keep("sync", move || {
+                sync::run(
+                    own_shared.clone(),
+                    own_store.clone(),
+                    pool.clone(),
+                    snapshots.clone(),
+                )
+            }));
+            let inputs = Arc::new(tokio::sync::Mutex::new((snapshots_read, finish_requested)));
+            task::keep("duty", || {
+                let duty = Duty::new(shared.clone(), store.clone(), counts.clone());
+                let inputs = inputs.clone();
+                async move {
+                    let (snapshots, finish) = &mut *inputs.lock().await;
+                    duty.run(snapshots, finish).await;
+                }
+            })
+            .await;
         });
         let _ = done.send(());
     })?;
     Ok((finish, finished))
 }
 
+/// Keeps a task running that calls the store.
+fn keep_with_store<F>(
+    name: &'static str,
+    shared: &Arc<Shared>,
+    store: &Arc<Client>,
+    run: fn(Arc<Shared>, Arc<Client>) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (shared, store) = (shared.clone(), store.clone());
+    tokio::spawn(task::keep(name, move || run(shared.clone(), store.clone())));
+}
+
 /// Waits for the signal to stop; reloads the settings on SIGHUP and when the file changes.
 fn wait_for_stop(mut signals: Signals, path: &Path, shared: &Arc<Shared>) {
     let watcher = shared.clone();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -25,4 +25,5 @@
 mod schedule;
 mod seal;
 mod stall;
+mod tasks;
 mod usage;
