Bound the numbers that are read, and saturate their sums

Cause: numbers were read in the widest type that holds them. A duration that is too long for its type panics in every build, a sum that is too large in a debug build; in a release build it wraps.

Evidence, without the change, debug build: a configuration with a time of 1e300 ms ends the task that reads it (live: Duration::from_secs_f64 in config::millis); a request with X-Token-Counts of 2^64-1 twice gets no answer (live: Demand::kv_tokens); loads of other hosts, counts of requests, a page that goes backwards and a wait of more than 2^64 us fail in proxy/odd.rs, 5 of 6 tests with those of the lease. The sixth, any datagram, passes without it.

After: all of these tests pass.

--- a/crates/core/src/proxy/fleet/runner.rs
+++ b/crates/core/src/proxy/fleet/runner.rs
@@ -167,9 +167,9 @@
     /// Sum of two loads.
     pub fn plus(self, other: Self) -> Self {
         Self {
-            running: self.running + other.running,
-            prefill_us: self.prefill_us + other.prefill_us,
-            kv_tokens: self.kv_tokens + other.kv_tokens,
+            running: self.running.saturating_add(other.running),
+            prefill_us: self.prefill_us.saturating_add(other.prefill_us),
+            kv_tokens: self.kv_tokens.saturating_add(other.kv_tokens),
         }
     }
 
@@ -275,12 +275,16 @@
 
     /// Requests on it from all known hosts.
     pub fn running(&self) -> u32 {
-        self.local_load.running + self.peer_load.running
+        self.local_load.running.saturating_add(self.peer_load.running)
     }
 
     /// Prefill work queued on it by all known hosts, at the speed of its service.
     pub fn backlog(&self) -> Duration {
-        Duration::from_micros(self.local_load.prefill_us + self.peer_load.prefill_us)
+        Duration::from_micros(
+            self.local_load
+                .prefill_us
+                .saturating_add(self.peer_load.prefill_us),
+        )
     }
 
     /// Whether this host has at least that much prefill work queued on it.
@@ -299,6 +303,6 @@
 
     /// KV cache that all known requests occupy when they end, in tokens.
     pub fn kv_tokens(&self) -> u64 {
-        self.local_load.kv_tokens + self.peer_load.kv_tokens
+        self.local_load.kv_tokens.saturating_add(self.peer_load.kv_tokens)
     }
 }
--- a/crates/core/src/proxy/gossip/message.rs
+++ b/crates/core/src/proxy/gossip/message.rs
@@ -64,8 +64,8 @@
     pub fn plus(self, other: &PrefillRate) -> Self {
         Self {
             service: self.service,
-            total_us: self.total_us + other.total_us,
-            long_us: self.long_us + other.long_us,
+            total_us: self.total_us.saturating_add(other.total_us),
+            long_us: self.long_us.saturating_add(other.long_us),
         }
     }
 }
--- a/crates/core/src/proxy/gossip/summary.rs
+++ b/crates/core/src/proxy/gossip/summary.rs
@@ -80,9 +80,9 @@
     match loads.binary_search_by_key(&load.runner, |have| have.runner) {
         Ok(at) => {
             let have = &mut loads[at];
-            have.running += load.running;
-            have.prefill_us += load.prefill_us;
-            have.kv_tokens += load.kv_tokens;
+            have.running = have.running.saturating_add(load.running);
+            have.prefill_us = have.prefill_us.saturating_add(load.prefill_us);
+            have.kv_tokens = have.kv_tokens.saturating_add(load.kv_tokens);
         }
         Err(at) => loads.insert(at, *load),
     }
--- a/crates/core/src/proxy/latency.rs
+++ b/crates/core/src/proxy/latency.rs
@@ -13,6 +13,8 @@
 
 use super::regression::Regression;
 
+/// Longest time that is measured or predicted.
+const MAX_SPAN: Duration = Duration::from_secs(86_400);
 /// Indices of the features of the time to the first event: a constant, thousands of tokens to
 /// prefill, millions of token pairs in attention, concurrent requests, and whether the runner is
 /// in another zone.
@@ -187,7 +189,7 @@
     span.as_secs_f64() * 1e3
 }
 
-/// Converts milliseconds to a duration; negative values become zero.
+/// Converts milliseconds to a duration of at most a day; negative values become zero.
 pub fn millis(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+    Duration::try_from_secs_f64(ms.max(0.0) / 1e3).map_or(MAX_SPAN, |span| span.min(MAX_SPAN))
 }
--- a/crates/core/src/proxy/mirror.rs
+++ b/crates/core/src/proxy/mirror.rs
@@ -160,6 +160,7 @@
             None => self.entries.len(),
         };
         let is_last = last.is_none();
+        let to = to.max(from);
         let is_kept = |entry: &&Entry| {
             let found = page.entries.binary_search_by(|have| have.key.cmp(&entry.key));
             found.is_ok()
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -387,7 +387,7 @@
 
 /// Time until one of a runner's slots is free for one more request.
 fn slot_wait(inputs: Inputs<'_>, slots: u32, load: LoadEstimate) -> Duration {
-    let excess = (load.running + 1).saturating_sub(slots);
+    let excess = load.running.saturating_add(1).saturating_sub(slots);
     inputs.latency.residence() * excess / slots.max(1)
 }
 
--- a/crates/core/src/proxy/placement/zones.rs
+++ b/crates/core/src/proxy/placement/zones.rs
@@ -34,7 +34,9 @@
         let mean = |zone: &[&'a Runner]| {
             let count = zone.len() as u32;
             let backlog: Duration = zone.iter().map(|runner| runner.backlog()).sum();
-            let running: u32 = zone.iter().map(|runner| runner.running()).sum();
+            let running = zone
+                .iter()
+                .fold(0, |sum: u32, runner| sum.saturating_add(runner.running()));
             let load = LoadEstimate {
                 backlog: backlog / count,
                 running: running / count,
--- a/crates/core/src/proxy/report.rs
+++ b/crates/core/src/proxy/report.rs
@@ -185,7 +185,7 @@
 
     fn remove_old(&mut self, now: Moment, current: u64) -> Option<Step> {
         let oldest = self.sealed.first()?;
-        if oldest.window.number + KEPT_WINDOWS >= current {
+        if oldest.window.number.saturating_add(KEPT_WINDOWS) >= current {
             return None;
         }
         let oldest = self.sealed.remove(0);
--- a/crates/core/src/proxy/run/copy.rs
+++ b/crates/core/src/proxy/run/copy.rs
@@ -118,7 +118,7 @@
     let available = fleet.available(now, service, stream.way).collect();
     let (mut elsewhere, mut nearby) = (Drawn::default(), Drawn::default());
     for (key, runner) in fleet.cleared(now, available) {
-        let has_room = runner.kv_tokens() + stream.kv_tokens <= max_filled;
+        let has_room = runner.kv_tokens().saturating_add(stream.kv_tokens) <= max_filled;
         if key == stream.source || !has_room || runner.known_version() != Some(stream.version) {
             continue;
         }
--- a/crates/core/src/proxy/scaling.rs
+++ b/crates/core/src/proxy/scaling.rs
@@ -179,7 +179,7 @@
             listed.service == service && listed.zone == name && runner.is_listed(now)
         });
         for runner in of_service {
-            zone.running += runner.running();
+            zone.running = zone.running.saturating_add(runner.running());
             match runner.listed.reclaimable {
                 true => zone.reclaimable += 1,
                 false => zone.on_demand += 1,
@@ -376,7 +376,9 @@
         prefill_rate: u64,
     ) -> Needed {
         let found: u32 = zones.iter().map(|zone| zone.on_demand + zone.reclaimable).sum();
-        let running: u32 = zones.iter().map(|zone| zone.running).sum();
+        let running = zones
+            .iter()
+            .fold(0, |sum: u32, zone| sum.saturating_add(zone.running));
         let slots = service.engine.map_or(u32::MAX, |engine| engine.slots.max(1));
         let policy = self.policy;
         let peak = self.peaks.get_or_default(&service.name);
--- a/crates/core/src/proxy/usage.rs
+++ b/crates/core/src/proxy/usage.rs
@@ -32,7 +32,7 @@
             .counts
             .binary_search_by(|(have, _)| have.as_str().cmp(customer))
         {
-            Ok(at) => self.counts[at].1 += count,
+            Ok(at) => self.counts[at].1 = self.counts[at].1.saturating_add(count),
             Err(at) => self.counts.insert(at, (customer.to_string(), count)),
         }
     }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -39,8 +39,8 @@
     /// Moment `duration` before this one; stops at zero on each clock.
     pub fn saturating_sub(self, duration: Duration) -> Moment {
         Moment {
-            mono_us: self.mono_us.saturating_sub(duration.as_micros() as u64),
-            wall_ms: self.wall_ms.saturating_sub(duration.as_millis() as u64),
+            mono_us: self.mono_us.saturating_sub(saturate(duration.as_micros())),
+            wall_ms: self.wall_ms.saturating_sub(saturate(duration.as_millis())),
         }
     }
 
@@ -50,13 +50,17 @@
     }
 }
 
+fn saturate(count: u128) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
+
 impl std::ops::Add<Duration> for Moment {
     type Output = Moment;
 
     fn add(self, duration: Duration) -> Moment {
         Moment {
-            mono_us: self.mono_us.saturating_add(duration.as_micros() as u64),
-            wall_ms: self.wall_ms.saturating_add(duration.as_millis() as u64),
+            mono_us: self.mono_us.saturating_add(saturate(duration.as_micros())),
+            wall_ms: self.wall_ms.saturating_add(saturate(duration.as_millis())),
         }
     }
 }
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -253,7 +253,7 @@
     fn advance(&mut self, ids: &[u64]) -> bool {
         let mut last_event = self.last_event;
         for id in ids {
-            if last_event.is_some_and(|last| *id != last + 1) {
+            if last_event.is_some_and(|last| last.checked_add(1) != Some(*id)) {
                 return false;
             }
             last_event = Some(*id);
--- a/tests/suite/proxy.rs
+++ b/tests/suite/proxy.rs
@@ -22,6 +22,7 @@
 mod memory;
 mod mirror;
 mod model;
+mod odd;
 mod origin;
 mod overload;
 mod pause;
