--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -59,6 +59,7 @@
         }
     }
 }
+
 /// Maximum fencing number, and number of renewals, of a record.
 const MAX_NUMBER: u64 = 1 << 53;
 /// Half the time after which an unanswered store call is abandoned.
