End no stream as whole that has had no event

Cause: a stream counted as whole if its body ended with no incomplete event pending, also if no event had come. A runner that ends after the head of its answer, which has neither a length nor chunks, closes the connection, and this cannot be told from the end of the body. The same holds at a runner that is to resume a stream. A transfer encoding other than chunked counted as a mark of the end.

Evidence, live tests on the former code: 9 of 9 kinds of such an answer (HTTP/1.1, HTTP/1.0, bare line feeds, with and without a pause; length 0, only the last chunk, another transfer encoding), on both kinds of route, were passed on as 200, chunked, with the last chunk and no byte before it.

Change: an end without any event counts as a break, unless the body is framed and goes on with a stream that may have had all its events.

--- a/crates/entry/src/proxy/stream.rs
+++ b/crates/entry/src/proxy/stream.rs
@@ -127,7 +127,7 @@
             self.failure = Some(reply);
             return Err(AttemptError::Failed(Fault::MayHaveRun));
         }
-        let mut segment = Segment::new(response, None);
+        let mut segment = Segment::new(response, self.job, None);
         match segment.next(self.job, &self.forwarder.shared).await {
             Progress::Events(events) => Ok(StartOutcome::Stream(Box::new(segment), events)),
             Progress::Complete => Ok(StartOutcome::Stream(Box::new(segment), Events::default())),
@@ -165,7 +165,7 @@
         let after = Some(self.last_event);
         let response = self.forwarder.send(self.job, after, slot, self.log).await?;
         match response.parts.status.is_success() {
-            true => Ok(Segment::new(response, after)),
+            true => Ok(Segment::new(response, self.job, after)),
             false => Err(AttemptError::Failed(Fault::MayHaveRun)),
         }
     }
--- a/crates/entry/src/proxy/stream/copies.rs
+++ b/crates/entry/src/proxy/stream/copies.rs
@@ -238,7 +238,7 @@
         log.has_paid = matches!(sent, Err(AttemptError::Failed(Fault::Unreachable)));
         let (answer, status) = match sent {
             Ok(response) if response.parts.status.is_success() => {
-                let mut next = Segment::new(response, Some(last_event));
+                let mut next = Segment::new(response, job, Some(last_event));
                 next.response.slot.finish_resumed_prefill();
                 tracing::info!(
                     event = "stream-continued",
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -4,7 +4,6 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
 use radishstair_core::proxy::crash::{End, Suspect};
 use radishstair_core::proxy::fleet::AttemptResult;
 use radishstair_core::proxy::memory::Purpose;
@@ -18,6 +17,7 @@
 use super::super::held::Held;
 use super::super::job::Job;
 use super::super::slot::Slot;
+use crate::upstream::connection::has_marked_end;
 
 /// Minimum silence after which a segment of a resumable stream counts as broken:
 /// an engine under load pauses for most of a second.
@@ -50,6 +50,8 @@
     held: Held,
     /// Whether it has been reserved.
     is_reserved: bool,
+    /// Whether the body may end here: an event has come, or none need come.
+    may_end: bool,
     /// Id of the last event received.
     pub last_event: Option<u64>,
 }
@@ -82,9 +84,9 @@
 
 impl Segment {
     /// Creates a segment from a response; `last_event` is the event after which it resumes.
-    pub fn new(response: RunnerResponse, last_event: Option<u64>) -> Self {
-        let headers = &response.parts.headers;
-        let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key("transfer-encoding");
+    pub fn new(response: RunnerResponse, job: &Job, last_event: Option<u64>) -> Self {
+        let is_framed = has_marked_end(&response.parts);
+        let is_resumed = last_event.or(job.metadata.last_event).is_some();
         let held = Held::empty(response.slot.shared.memory.clone());
         Self {
             response,
@@ -92,6 +94,8 @@
                 splitter: Splitter::default(),
                 held,
                 is_reserved: false,
+                // What is left of a stream after its last event is empty.
+                may_end: is_framed && is_resumed,
                 last_event,
             },
             is_break_recorded: false,
@@ -225,6 +229,7 @@
             if !self.advance(&events.ids) {
                 return Progress::Broken;
             }
+            self.may_end = true;
             return Progress::Events(events);
         }
     }
@@ -238,9 +243,9 @@
         true
     }
 
-    /// Without a length or chunks, an incomplete event is the only sign of a break.
+    /// Without a length or chunks, an incomplete event, or none at all, is the only sign of a break.
     fn on_eof(&self) -> Progress {
-        match self.splitter.is_empty() {
+        match self.may_end && self.splitter.is_empty() {
             true => Progress::Complete,
             false => Progress::Broken,
         }
--- a/crates/entry/src/proxy/stream/takeover.rs
+++ b/crates/entry/src/proxy/stream/takeover.rs
@@ -177,7 +177,7 @@
                 Signal::First(progress) => break progress,
                 Signal::Other(Ok(response)) if response.parts.status.is_success() => {
                     log.has_paid = false;
-                    let mut next = Segment::new(response, last_event);
+                    let mut next = Segment::new(response, job, last_event);
                     match first.await_begin(job, shared, &mut next).await {
                         Begin::First(progress) => break progress,
                         Begin::Other(events) => {
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -9,8 +9,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap};
-use hyper::{Request, Response};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::http::response;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use radishstair_core::carried;
 use socket2::{SockRef, TcpKeepalive};
@@ -192,6 +193,24 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Whether a length or chunks mark the end of an answer's body, rather than the end of the connection.
+pub fn has_marked_end(answer: &response::Parts) -> bool {
+    if matches!(answer.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return true;
+    }
+    let mut encodings = answer.headers.get_all(TRANSFER_ENCODING).iter();
+    match encodings
+        .next_back()
+        .map(|value| value.to_str().unwrap_or_default())
+    {
+        Some(encodings) => encodings
+            .rsplit(',')
+            .next()
+            .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked")),
+        None => answer.headers.contains_key(CONTENT_LENGTH),
+    }
+}
+
 /// Whether the server will close the connection after this answer.
 pub fn has_connection_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
