Take a head without a length and a body for no answer

Cause: the end of the connection marked the end of a buffered answer without a length and chunks, also right behind its head. A runner that ends there was taken for one that has answered with an empty body; the caller got it with `Content-Length: 0`, as whole.

Change: such an answer counts as broken off, unless its status or the method has no body. Answers without a length that have a body are passed on as before; whether their body is whole can't be told if they end in order.

--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -12,10 +12,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use radishstair_core::error::{Kind, Refusal, Repeat};
 use radishstair_core::proxy::crash::End;
 use radishstair_core::proxy::fleet::notice::Answer;
@@ -39,6 +39,7 @@
 use super::slot::Slot;
 use super::stream::copies::Handle;
 use crate::upstream::attempts;
+use crate::upstream::connection::has_marked_end;
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, ResponseConnection};
 
@@ -416,7 +417,14 @@
         } = response;
         slot.finish_prefill();
         self.shared.count_usage(job.admission.customer.as_deref());
-        let body = match body::read_answer(&self.shared, job, body).await {
+        let may_be_empty = job.parts.method == Method::HEAD || has_marked_end(&parts);
+        let read = body::read_answer(&self.shared, job, body).await;
+        let body = match read {
+            // The runner may have ended after the head.
+            Ok(body) if body.is_end_stream() && !may_be_empty => Err(ReadFailure::Runner),
+            read => read,
+        };
+        let body = match body {
             Ok(body) => body,
             Err(failure) => {
                 if failure == ReadFailure::Runner {
