Reject a head that has another status line in it

Cause: a runner may send more than its answer, and break off within the head of what it sends too much. The true answer that follows is read as the rest of that head: its status line becomes part of a reason phrase or of a header's value, while its id and signature count. The status is that of the broken head.

Evidence, live tests on the former code: "HTTP/1.1 200 O", or "HTTP/1.1 200 OK" and a cut header line, in front of a runner's 500: passed on as 200 with the body of the failure, 4 of 4 (two fronts of bytes, posting and look-up). Cuts elsewhere don't parse, or name the other request, and gave 502.

Change: a status line within the reason phrase or a value makes the request count as possibly run, and its connection is closed.

After: 502 for each.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -24,6 +24,7 @@
 
 pub mod attempts;
 pub mod connection;
+mod head;
 pub mod hold_off;
 mod limited;
 pub mod pool;
@@ -153,11 +154,22 @@
 ) -> Result<Exchange, Failure> {
     connection.record_id(id);
     match connection.send(request).await {
-        SendResult::Response(response) => Ok(Exchange {
+        SendResult::Response(response) if head::is_sound(&response) => Ok(Exchange {
             connection,
             address,
             response,
         }),
+        SendResult::Response(response) => {
+            tracing::warn!(
+                event = "answer-head-unsound",
+                request = id,
+                %address,
+                status = response.status().as_u16(),
+                connection = connection.number(),
+                exchange = connection.carried().count()
+            );
+            Err(Failure::MaybeSent)
+        }
         SendResult::NotSent => Err(Failure::NotSent),
         SendResult::MaybeSent => Err(Failure::MaybeSent),
     }
