Pass on no change of protocols

Cause: the HTTP client returns an answer with status 101 as a final one, although no request asks for a change of protocols. With the request's id and a signature it was usable, and went to the caller.

Evidence, live tests on the former code: 8 of 8 (with and without an `Upgrade` header; posting, look-up, both kinds of stream) got status 101, which ends HTTP on the caller's connection.

Change: an informational status makes the request count as possibly run.

After: 502 for each.

--- a/crates/entry/src/upstream/head.rs
+++ b/crates/entry/src/upstream/head.rs
@@ -1,6 +1,6 @@
-//! Heads of answers that cannot be told from two.
+//! Heads of answers that are no heads of final answers.
 //!
-//! What a runner sends too much may break off within a head. The answer that follows on the connection is then read as
+//! A change of protocols is never asked for. What a runner sends too much may break off within a head. The answer that follows on the connection is then read as
 //! the rest of it: its status line ends up in a reason phrase or in the value of a header, and the status is that of
 //! the former one.
 
@@ -12,15 +12,16 @@
 /// Length of the minor version, a space and a status.
 const STATUS_BYTES: usize = 5;
 
-/// Whether the head has one status line only.
+/// Whether the head is final, and has one status line only.
 pub fn is_sound<B>(answer: &Response<B>) -> bool {
     let reason = answer.extensions().get::<ReasonPhrase>();
     let values = answer.headers().values().map(|value| value.as_bytes());
-    !reason
-        .map(ReasonPhrase::as_bytes)
-        .into_iter()
-        .chain(values)
-        .any(has_status_line)
+    !answer.status().is_informational()
+        && !reason
+            .map(ReasonPhrase::as_bytes)
+            .into_iter()
+            .chain(values)
+            .any(has_status_line)
 }
 
 /// Whether a text has a status line in it.
