Take half a JSON document for no answer of a plain service

Cause: on the own front as well, the end of the connection marked the end of an answer without a length and chunks. What had come until then was recorded as the answer and passed on as JSON, with a length.

Evidence, live test on the former code: a head without a length, alone and with half a document behind it, 2 of 2 postings got an answer that is no JSON.

Change: such an answer must be a JSON document, else the call may have run.

After: 502, "unknown", run once. A cut head, a body that is reset, and status 101 give the same with and without the change. `Builder::without` leaves stand-ins out, so that a test can listen at their addresses.

--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -28,6 +28,7 @@
 use crate::metrics::ClassLabel;
 use crate::peers::dialer::Dialer;
 use crate::upstream::attempts;
+use crate::upstream::connection::has_marked_end;
 use crate::upstream::pool::Pool;
 use crate::upstream::{self, Exchange, Failure, Notices, RunnerRequest};
 
@@ -147,8 +148,7 @@
         let caller = authenticate(&self.handle, view, &request)?;
         let route = view.route(&caller, &class, None)?;
         let body = read_body(request).await?;
-        serde_json::from_slice::<serde::de::IgnoredAny>(&body)
-            .map_err(|err| Refusal::new(Kind::BadRequest).detail(err.to_string()))?;
+        check_json(&body).map_err(|err| Refusal::new(Kind::BadRequest).detail(err.to_string()))?;
         let customer = view.document.customers[caller.customer.index()].name.clone();
         Ok(Job {
             reserved: self.handle.has_reservation(token.as_deref(), &customer, &class),
@@ -442,14 +442,19 @@
             return Err((Failure::MaybeSent, Kind::UpstreamCrossed.into()));
         }
         Notices::of(&answer).notify(&self.handle, &assignment.name);
-        let status = answer.status().as_u16();
-        let body = Limited::new(answer.into_body(), MAX_BODY_BYTES).collect().await;
-        let body = body.map_err(|_| (Failure::MaybeSent, Kind::UpstreamBroken.into()))?;
+        let (parts, body) = answer.into_parts();
+        let broken = || (Failure::MaybeSent, Kind::UpstreamBroken.into());
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(|_| broken())?.to_bytes();
+        // If only the end of the connection marks the end of the body, the runner may have ended early.
+        if !has_marked_end(&parts) && check_json(&body).is_err() {
+            return Err(broken());
+        }
         connection.release(&self.pool, self.handle.clock.now());
         Ok(RunnerResponse {
             runner: assignment.name.clone(),
-            status,
-            body: body.to_bytes(),
+            status: parts.status.as_u16(),
+            body,
         })
     }
 
@@ -464,6 +469,10 @@
     }
 }
 
+fn check_json(body: &[u8]) -> serde_json::Result<()> {
+    serde_json::from_slice::<serde::de::IgnoredAny>(body).map(|_| ())
+}
+
 /// Changes a refusal of a call with an idempotency key to say that the outcome
 /// is unknown. An invalid request stays "not run", as every host refuses it.
 fn with_outcome_unknown(refusal: Refusal) -> Refusal {
--- a/crates/entry/src/upstream/head.rs
+++ b/crates/entry/src/upstream/head.rs
@@ -1,8 +1,8 @@
 //! Heads of answers that are no heads of final answers.
 //!
-//! A change of protocols is never asked for. What a runner sends too much may break off within a head. The answer that follows on the connection is then read as
-//! the rest of it: its status line ends up in a reason phrase or in the value of a header, and the status is that of
-//! the former one.
+//! A change of protocols is never asked for. What a runner sends too much may break off within a head. The answer that
+//! follows on the connection is then read as the rest of it: its status line ends up in a reason phrase or in the value
+//! of a header, and the status is that of the former one.
 
 use hyper::Response;
 use hyper::ext::ReasonPhrase;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod proxy;
 mod world;
 
+mod broken_answers;
 mod calls;
 mod carried;
 mod config;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -40,6 +40,7 @@
     plan: Plan,
     configuration: Value,
     connections: Option<usize>,
+    absent: Vec<&'static str>,
 }
 
 /// A cluster of two zones, each with two entry hosts, an engine and a ledger service.
@@ -85,6 +86,7 @@
         plan,
         configuration,
         connections: None,
+        absent: Vec::new(),
     }
 }
 
@@ -107,6 +109,12 @@
         self
     }
 
+    /// Leaves programs of this name out, so that a test can listen at their addresses.
+    pub fn without(mut self, program: &'static str) -> Self {
+        self.absent.push(program);
+        self
+    }
+
     /// Changes the initial configuration.
     pub fn configuration(mut self, change: impl FnOnce(&mut Value)) -> Self {
         change(&mut self.configuration);
@@ -137,6 +145,9 @@
             folder,
         };
         for index in 0..cluster.processes.len() {
+            if self.absent.contains(&cluster.processes[index].program.as_str()) {
+                continue;
+            }
             let child = cluster.spawn(index);
             match cluster.processes[index].program.as_str() {
                 "radishstair-entry" => cluster.entries.push(child),
