--- a/review/stand-ins-2/platform/harness.py
+++ b/review/stand-ins-2/platform/harness.py
@@ -86,7 +86,10 @@
 async def read_chunks(reader):
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        size = int(line.split(b";")[0], 16)
         body += await reader.readexactly(size)
         await reader.readexactly(2)
         if size == 0:
@@ -133,6 +136,9 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
+        except asyncio.CancelledError:
+            # The end of the case.
+            return
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -261,10 +267,11 @@
         self.born = int(time.time() * 1000)
         self.work = 0.015
         self.ran = []
+        self.running = 0
         self.behave = None
 
-    def register(self, state="ready"):
-        entry = {
+    def entry(self, state):
+        return {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -275,7 +282,9 @@
             "sequence": 1,
             "born": self.born,
         }
-        self.store.put(f"servers/{self.id}", json.dumps(entry))
+
+    def register(self, state="ready", more=None):
+        self.store.put(f"servers/{self.id}", json.dumps({**self.entry(state), **(more or {})}))
 
     def unregister(self):
         self.store.remove(f"servers/{self.id}")
@@ -297,11 +306,15 @@
             if handled is not None:
                 return handled
         self.begin(message)
-        if self.events:
-            await self.stream(message, writer)
-        else:
-            await asyncio.sleep(self.work)
-            writer.write(render("200 OK", self.identity(message), ANSWER + request.encode()))
+        self.running += 1
+        try:
+            if self.events:
+                await self.stream(message, writer)
+            else:
+                await asyncio.sleep(self.work)
+                writer.write(render("200 OK", self.identity(message), ANSWER + request.encode()))
+        finally:
+            self.running -= 1
         self.record.line(f"runner {self.id} answered {request}")
         return True
 
