--- a/review/stand-ins-2/platform/harness.py
+++ b/review/stand-ins-2/platform/harness.py
@@ -201,8 +201,13 @@
         if path.endswith("/kv-range"):
             keys = sorted(key for key in self.items if key.startswith(fields.get("pathPrefix", "")))
             keys = [key for key in keys if key > fields.get("afterRevision", "")]
-            items = [self.items[key] for key in keys[:500]]
-            return "200 OK", {"items": items, "hasMore": len(keys) > 500, "storeRevision": self.revision}
+            items, size = [], 0
+            for key in keys[:500]:
+                items.append(self.items[key])
+                size += len(self.items[key]["value"])
+                if size >= 1_000_000:
+                    break
+            return "200 OK", {"items": items, "hasMore": len(keys) > len(items), "storeRevision": self.revision}
         if path.endswith("/kv-txn"):
             return self.transact(json.loads(body))
         return "404 Not Found", {}
