Let answers that run on speak for the parts of their prompts

Cause: the test for a guilty part knew only complete answers. The streams on the other engines, which went on for 9 s, were evidence that no host recorded; and crashes of one moment were multiplied as if they were independent.

Change: hosts record how far running answers have come, and tell it when they are asked about a suspect. While answers run on, a crash counts 1 s later. Crashes within 1 s prove nothing against a suspect that was answered before. The same holds for single requests.

Why it works: a guilty request cannot outlive the time in which such requests crash their runners; a sound one on another runner does.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -27,14 +27,18 @@
 pub mod message;
 pub mod quarantine;
 pub mod report;
+pub mod running;
 mod suspect;
 
 use answers::Answers;
 use evidence::{Evidence, Tally, Witness};
-use hearing::{ANSWER_TIME, ASK_INTERVAL, HEARING, HEARING_BY_STORE, Hearing, SOUND_BEFORE_TIME};
+use hearing::{
+    ANSWER_TIME, ASK_INTERVAL, HEARING, HEARING_BY_STORE, Hearing, SOUND_BEFORE_TIME, SURVIVAL_TIME,
+};
 use message::Message;
 use quarantine::{Quarantine, Record};
 use report::Outgoing;
+use running::Progress;
 use suspect::{MAX_PARTS, sorted_suspects};
 pub use suspect::{Scope, Suspect, shared_parts, suspects};
 
@@ -199,6 +203,18 @@
         }
     }
 
+    /// Records that the answer to a request with these suspects, which began at `head_at`, runs on.
+    pub fn record_progress(&mut self, now: Moment, head_at: Moment, suspects: &[Suspect]) {
+        let progress = Progress {
+            at: now,
+            answering: now.since(head_at),
+            heard_at: now,
+        };
+        for suspect in suspects {
+            self.answers.running.record(*suspect, progress);
+        }
+    }
+
     /// Until when a request is held back, as hosts are being asked about it; `None` if it is not, or if it is
     /// refused anyway.
     pub fn held_until(&self, now: Moment, suspects: &[Suspect]) -> Option<Moment> {
@@ -261,7 +277,7 @@
         }
         let quarantine = &self.quarantine;
         let is_explained = |part: Suspect| quarantine.holds(part);
-        let suspects = self.evidence.suspects(&self.answers, is_explained);
+        let suspects = self.evidence.suspects(now, &self.answers, is_explained);
         self.hearings.retain(|hearing| {
             let is_suspect = suspects.iter().any(|suspect| suspect.part == hearing.part);
             is_suspect && now.since(hearing.began) < HEARING_LIFE
@@ -274,17 +290,23 @@
                 continue;
             }
             let was_sound = self.answers.last(part).is_some();
-            let is_heard = self.hear(now, part, &tally);
+            let last_crash = tally.first + tally.span;
+            let is_running = self.answers.running.is_running(now, part, last_crash);
+            let is_heard = self.hear(now, part, &tally, is_running);
+            let until = match is_running {
+                true => now.saturating_sub(SURVIVAL_TIME),
+                false => now,
+            };
+            let quarantine = &self.quarantine;
+            let is_explained = |part: Suspect| quarantine.holds(part);
             let tally = match is_heard {
-                true => tally,
-                false => {
-                    let quarantine = &self.quarantine;
-                    let is_explained = |part: Suspect| quarantine.holds(part);
-                    self.evidence.tally_unheard(part, &self.answers, is_explained)
-                }
+                true => self.evidence.tally(part, &self.answers, until, is_explained),
+                false => self
+                    .evidence
+                    .tally_unheard(part, &self.answers, until, is_explained),
             };
             let is_proof = tally.is_proof(part.scope, runners, was_sound, is_heard);
-            if is_proof && !(was_sound && self.has_better_suspect(part, runners, &suspects)) {
+            if is_proof && !(was_sound && self.has_better_suspect(now, part, runners, &suspects)) {
                 let is_final = has_started && self.has_last_answers(now, part, &tally, was_sound);
                 proved.push((tally.log_ratio(runners), is_final, Verdict { part, tally }));
             }
@@ -303,27 +325,29 @@
 
     /// Whether a part that was never answered explains the crashes with another one that was: those without
     /// the former are so few that they may be chance.
-    fn has_better_suspect(&self, part: Suspect, runners: usize, suspects: &[Verdict]) -> bool {
+    fn has_better_suspect(&self, now: Moment, part: Suspect, runners: usize, suspects: &[Verdict]) -> bool {
         let others = suspects.iter().map(|suspect| suspect.part);
         let mut unanswered = others.filter(|other| {
             *other != part && other.scope == Scope::Part && self.answers.last(*other).is_none()
         });
         unanswered.any(|other| {
             let is_explained = |suspect: Suspect| suspect == other || self.quarantine.holds(suspect);
-            let rest = self.evidence.tally(part, &self.answers, is_explained);
+            let rest = self.evidence.tally(part, &self.answers, now, is_explained);
             !rest.is_unlikely(runners)
         })
     }
 
-    /// Asks the other hosts about a suspect part, if that is due; returns whether most have answered.
-    fn hear(&mut self, now: Moment, part: Suspect, tally: &Tally) -> bool {
+    /// Asks the other hosts about a suspect part, if that is due; returns whether most have answered. While answers of it
+    /// run, they are asked again and again.
+    fn hear(&mut self, now: Moment, part: Suspect, tally: &Tally, is_running: bool) -> bool {
         let known_since = known_since(now, part, tally);
         let found = self.hearings.iter().position(|hearing| hearing.part == part);
         match found {
             Some(at) => {
                 let hearing = &mut self.hearings[at];
+                hearing.last_crash = tally.first + tally.span;
                 let is_due = now.since(hearing.asked_at) >= ASK_INTERVAL && hearing.asked < MAX_ASKED;
-                if is_due && hearing.crashes < tally.crashes {
+                if is_due && (is_running || hearing.crashes < tally.crashes) {
                     hearing.asked_at = now;
                     hearing.crashes = tally.crashes;
                     hearing.asked += 1;
@@ -337,6 +361,7 @@
                     began: now,
                     asked_at: now,
                     crashes: tally.crashes,
+                    last_crash: tally.first + tally.span,
                     asked: 1,
                     repliers: Vec::new(),
                     asked_last_at: None,
@@ -431,6 +456,9 @@
         for (part, at) in message.answers(now) {
             self.answers.record(at, part);
         }
+        for (suspect, progress) in message.running(now) {
+            self.answers.running.record(suspect, progress);
+        }
         for part in message.quarantined() {
             self.quarantine.record_told(now, part);
         }
@@ -443,9 +471,8 @@
             }
         }
         message.questions().for_each(|suspect| self.hold(now, suspect));
-        let known = |part: Suspect| self.answers.last(part).map(|at| (part, at));
         let kept = self.started_at.map(|at| now.since(at)).unwrap_or_default();
-        Message::answer(now, message, message.questions().filter_map(known), kept)
+        Message::answer(now, message, &self.answers, kept)
     }
 
     /// Applies the records in the store; returns those that are new, and the parts whose quarantine has ended.
--- a/crates/core/src/proxy/crash/answers.rs
+++ b/crates/core/src/proxy/crash/answers.rs
@@ -4,7 +4,9 @@
 //! mostly answered once, so only the latest of them are kept, in order.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
+use super::running::Running;
 use super::{Scope, Suspect};
 use crate::time::Moment;
 
@@ -21,6 +23,8 @@
     rows: Vec<(Suspect, Moment)>,
     /// Requests, in the order in which this host learnt of their answers.
     requests: VecDeque<(Suspect, Moment)>,
+    /// Answers that are not complete yet.
+    pub running: Running,
 }
 
 impl Answers {
@@ -65,6 +69,16 @@
         }
     }
 
+    /// When a request with the suspect was last seen to be sound: it was answered, or its answer ran for longer than
+    /// `broken`, the longest one that broke off in a crash.
+    pub fn last_sound(&self, suspect: Suspect, broken: Duration) -> Option<Moment> {
+        let outlived = self.running.outlived(suspect, broken);
+        self.last(suspect)
+            .into_iter()
+            .chain(outlived)
+            .max_by_key(|at| at.mono_us)
+    }
+
     /// Number of parts and requests.
     pub fn len(&self) -> usize {
         self.rows.len() + self.requests.len()
--- a/crates/core/src/proxy/crash/evidence.rs
+++ b/crates/core/src/proxy/crash/evidence.rs
@@ -36,6 +36,8 @@
 /// The same for the crashes with a part that remain without those of any single request, or of a part that was
 /// never answered.
 const BESIDE_ONE_RATIO: f64 = 6.9;
+/// Time within which crashes may have one cause, such as a rack or a zone that fails.
+const COMMON_CAUSE_TIME: Duration = Duration::from_secs(1);
 /// Time that a request spends on its runner, and the shortest one that counts.
 const REQUEST_TIME: Duration = Duration::from_secs(2);
 const MIN_EXPOSURE: Duration = Duration::from_millis(250);
@@ -200,7 +202,8 @@
             Scope::Part => self.log_ratio_of(self.beside_one_request, runners) >= BESIDE_ONE_RATIO,
             Scope::Request => true,
         };
-        is_of_several && self.crashes >= crashes && self.log_ratio(runners) >= required
+        let is_of_one_moment = was_sound && self.span < COMMON_CAUSE_TIME;
+        is_of_several && !is_of_one_moment && self.crashes >= crashes && self.log_ratio(runners) >= required
     }
 }
 
@@ -297,10 +300,16 @@
         self.crashes.is_empty()
     }
 
-    /// Crashes with a part since its last answer, and those without it; crashes with a part that
+    /// Crashes with a part from its last answer to `until`, and those without it; crashes with a part that
     /// `is_explained` are left out.
-    pub fn tally(&self, part: Suspect, answers: &Answers, is_explained: impl Fn(Suspect) -> bool) -> Tally {
-        self.tally_of(part, answers, is_explained, |crash| crash.is_told)
+    pub fn tally(
+        &self,
+        part: Suspect,
+        answers: &Answers,
+        until: Moment,
+        is_explained: impl Fn(Suspect) -> bool,
+    ) -> Tally {
+        self.tally_of(part, answers, until, is_explained, |crash| crash.is_told)
     }
 
     /// The same if most hosts have not answered: what they know of crashes comes from reports in the store as well.
@@ -308,29 +317,32 @@
         &self,
         part: Suspect,
         answers: &Answers,
+        until: Moment,
         is_explained: impl Fn(Suspect) -> bool,
     ) -> Tally {
-        self.tally_of(part, answers, is_explained, |_| false)
+        self.tally_of(part, answers, until, is_explained, |_| false)
     }
 
     fn tally_of(
         &self,
         part: Suspect,
         answers: &Answers,
+        until: Moment,
         is_explained: impl Fn(Suspect) -> bool,
         is_complete: impl Fn(&Crash) -> bool,
     ) -> Tally {
-        let answered = answers.last(part);
+        let sound_at = answers.last_sound(part, self.longest_broken(part, answers, until));
         // A request under quarantine may have crashed runners by a part of it, so it explains no crashes with that.
         let may_explain = |other: &&Suspect| other.scope == Scope::Part || part.scope == Scope::Request;
         let is_open = |crash: &&Crash| {
             let suspects = crash.witnesses.iter().flat_map(|witness| &witness.suspects);
             let is_left_out = !is_complete(crash) && self.may_be_explained(crash, part.service);
             crash.is_of(part.service)
+                && until.reached(crash.at)
                 && !is_left_out
                 && !suspects.filter(may_explain).any(|other| is_explained(*other))
         };
-        let is_since_answer = |crash: &Crash| answered.is_none_or(|at| crash.at.reached(at));
+        let is_since_answer = |crash: &Crash| sound_at.is_none_or(|at| crash.at.reached(at));
         let open: Vec<&Crash> = self.crashes.iter().filter(is_open).collect();
         let with_part = || {
             open.iter()
@@ -363,9 +375,29 @@
         }
     }
 
+    /// Longest time for which a request with a suspect had been answered when it broke off in a crash, between the last
+    /// complete answer and `until`.
+    fn longest_broken(&self, suspect: Suspect, answers: &Answers, until: Moment) -> Duration {
+        let answered = answers.last(suspect);
+        let crashes = self.crashes.iter();
+        let later =
+            crashes.filter(|crash| until.reached(crash.at) && answered.is_none_or(|at| crash.at.reached(at)));
+        let witnesses = later.flat_map(|crash| &crash.witnesses);
+        let with_suspect = witnesses.filter(|witness| witness.suspects.binary_search(&suspect).is_ok());
+        with_suspect
+            .map(|witness| witness.answering)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Parts that were found in several crashes since they were last answered, at most a few of those that
     /// were found most often.
-    pub fn suspects(&self, answers: &Answers, is_explained: impl Fn(Suspect) -> bool) -> Vec<Verdict> {
+    pub fn suspects(
+        &self,
+        now: Moment,
+        answers: &Answers,
+        is_explained: impl Fn(Suspect) -> bool,
+    ) -> Vec<Verdict> {
         let mut found: Vec<(Suspect, usize)> = Vec::new();
         for (index, crash) in self.crashes.iter().enumerate() {
             let parts = crash.witnesses.iter().flat_map(|witness| &witness.suspects);
@@ -384,7 +416,7 @@
         let most_often = of_scope.flat_map(|counts| counts.iter().take(MAX_SUSPECTS));
         let tallies = most_often.map(|(_, part)| Verdict {
             part: *part,
-            tally: self.tally(*part, answers, &is_explained),
+            tally: self.tally(*part, answers, now, &is_explained),
         });
         tallies
             .filter(|suspect| suspect.tally.crashes >= SUSPECT_CRASHES)
--- a/crates/core/src/proxy/crash/hearing.rs
+++ b/crates/core/src/proxy/crash/hearing.rs
@@ -13,6 +13,9 @@
 /// Minimum time between the first crash with a part that was sound before and a verdict: so many runners may
 /// have crashed at once that the part was on all of them, and answers from the others take a moment.
 pub(super) const SOUND_BEFORE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which a crash counts for a part whose answers still run elsewhere: by then one that ran as long as those that
+/// broke off has outlived them, or has crashed its runner.
+pub(super) const SURVIVAL_TIME: Duration = Duration::from_millis(1_000);
 /// Time after which hosts are asked again about a part: what they answered after the first question counts as
 /// well.
 pub(super) const ASK_INTERVAL: Duration = Duration::from_millis(250);
@@ -27,6 +30,8 @@
     pub(super) asked_at: Moment,
     /// Number of crashes when the hosts were last asked.
     pub(super) crashes: u32,
+    /// Last of these.
+    pub(super) last_crash: Moment,
     /// Number of times that they were asked.
     pub(super) asked: u32,
     /// Hosts that have answered, and since when each has kept answers; sorted.
@@ -59,6 +64,7 @@
             self.began + HEARING,
             self.began + SOUND_BEFORE_TIME,
             self.began + HEARING_BY_STORE,
+            self.last_crash + SURVIVAL_TIME,
         ];
         let later = moments.into_iter().filter(|at| !now.reached(*at));
         later.min_by_key(|at| at.mono_us)
--- a/crates/core/src/proxy/crash/message.rs
+++ b/crates/core/src/proxy/crash/message.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use super::answers::Answers;
 use super::evidence::Witness;
+use super::running::Progress;
 use super::{Scope, Suspect};
 use crate::proxy::gossip::datagram::{self, Kind};
 use crate::time::Moment;
@@ -25,6 +27,12 @@
     /// Whether it is a request.
     #[prost(bool, tag = "4")]
     pub is_request: bool,
+    /// Time from the head of its answer until then, in milliseconds, if the answer still runs.
+    #[prost(uint32, tag = "5")]
+    pub answering_ms: u32,
+    /// Time since any running answer was heard, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub heard_ms: u32,
 }
 
 /// Request that was on a runner when it crashed.
@@ -77,6 +85,9 @@
     /// Time for which the sender has kept answers, in milliseconds; 0 if it does not say.
     #[prost(uint32, tag = "8")]
     pub kept_ms: u32,
+    /// Suspects of which answers still run.
+    #[prost(message, repeated, tag = "9")]
+    pub running: Vec<SuspectEntry>,
 }
 
 impl Message {
@@ -113,14 +124,20 @@
         }
     }
 
-    /// Confirms a message, and tells when requests with suspects were last answered.
-    pub(super) fn answer(
-        now: Moment,
-        message: &Self,
-        answers: impl Iterator<Item = (Suspect, Moment)>,
-        kept: Duration,
-    ) -> Self {
-        let answered = answers.map(|(part, at)| entry(part, millis(now.since(at))));
+    /// Confirms a message, and tells when requests with the suspects in it were last answered, and which answers run.
+    pub(super) fn answer(now: Moment, message: &Self, answers: &Answers, kept: Duration) -> Self {
+        let answered = message.questions().filter_map(|suspect| {
+            let at = answers.last(suspect)?;
+            Some(entry(suspect, millis(now.since(at))))
+        });
+        let running = message.questions().filter_map(|suspect| {
+            let progress = answers.running.get(suspect)?;
+            Some(SuspectEntry {
+                answering_ms: millis(progress.answering),
+                heard_ms: millis(now.since(progress.heard_at)),
+                ..entry(suspect, millis(now.since(progress.at)))
+            })
+        });
         Self {
             confirmed: message.number,
             answers_question: !message.asked.is_empty(),
@@ -129,6 +146,7 @@
                 false => millis(kept).max(1),
             },
             answered: answered.collect(),
+            running: running.collect(),
             ..Self::default()
         }
     }
@@ -181,6 +199,18 @@
         answered.map(move |entry| (suspect(entry), before(now, entry.age_ms)))
     }
 
+    /// Suspects of which answers still run, and how far they have come.
+    pub(super) fn running(&self, now: Moment) -> impl Iterator<Item = (Suspect, Progress)> + '_ {
+        self.running.iter().take(MAX_ENTRIES).map(move |entry| {
+            let progress = Progress {
+                at: before(now, entry.age_ms),
+                answering: Duration::from_millis(entry.answering_ms.into()),
+                heard_at: before(now, entry.heard_ms),
+            };
+            (suspect(entry), progress)
+        })
+    }
+
     /// Suspects that the sender has put under quarantine.
     pub(super) fn quarantined(&self) -> impl Iterator<Item = Suspect> + '_ {
         self.quarantined.iter().take(MAX_ENTRIES).map(suspect)
@@ -193,6 +223,8 @@
         id: suspect.id,
         age_ms,
         is_request: suspect.scope == Scope::Request,
+        answering_ms: 0,
+        heard_ms: 0,
     }
 }
 
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -72,6 +72,14 @@
     shared.state().crashes.record_answer(now, &job.suspects);
 }
 
+/// Records that the answer to a request, which began at `head_at`, ran on at `now`.
+pub(super) fn record_progress(shared: &Shared, job: &Job, now: Moment, head_at: Moment) {
+    shared
+        .state()
+        .crashes
+        .record_progress(now, head_at, &job.suspects);
+}
+
 fn witness(now: Moment, job: &Job, runner: u64, head_at: Option<Moment>) -> Witness {
     Witness {
         runner,
@@ -294,7 +302,7 @@
 pub(super) fn receive(shared: &Shared, from: SocketAddr, message: &Message) -> Option<Message> {
     let now = shared.now();
     let answer = shared.state().crashes.receive(now, from, message);
-    if !message.told.is_empty() || !message.answered.is_empty() {
+    if !message.told.is_empty() || !message.answered.is_empty() || !message.running.is_empty() {
         shared.crash_pending.notify_one();
     }
     (!answer.is_empty()).then_some(answer)
--- a/crates/entry/src/proxy/stream/segment.rs
+++ b/crates/entry/src/proxy/stream/segment.rs
@@ -26,6 +26,10 @@
 const SILENCE_GAP_MULTIPLE: u32 = 2;
 /// Incomplete events up to this size, in bytes, are within the memory that is reserved for each request.
 const SMALL_EVENT_BYTES: usize = 8 * 1024;
+/// Time between two records that an answer runs on.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum wait for an event that shows that its runner lives: one that comes sooner may have been received before.
+const MIN_EVENT_WAIT: Duration = Duration::from_millis(2);
 /// Duration that stands for no limit.
 pub const NO_LIMIT: Duration = Duration::from_secs(24 * 3_600);
 
@@ -41,6 +45,8 @@
     is_framed: bool,
     /// Time at which the last event arrived.
     last_arrival: Option<Moment>,
+    /// When it was last recorded that the answer runs on; at first, when it began.
+    progress_at: Moment,
 }
 
 /// Reads the events of one runner's response.
@@ -89,6 +95,7 @@
         let is_resumed = last_event.or(job.metadata.last_event).is_some();
         let held = Held::empty(response.slot.shared.memory.clone());
         Self {
+            progress_at: response.head_at,
             response,
             events: EventReader {
                 splitter: Splitter::default(),
@@ -110,13 +117,28 @@
         let time_left = job.time_left(shared.now()).unwrap_or(NO_LIMIT);
         let silence_limit = self.silence_limit(job).unwrap_or(NO_LIMIT);
         let next = self.events.next(&mut self.response.body);
+        let waiting_since = shared.now();
         match timeout(time_left.min(silence_limit), next).await {
-            Ok(progress) => progress,
+            Ok(progress) => {
+                if matches!(progress, Progress::Events(_)) {
+                    self.record_progress(job, shared, waiting_since);
+                }
+                progress
+            }
             Err(_) if silence_limit >= time_left => Progress::TimedOut,
             Err(_) => Progress::Silent,
         }
     }
 
+    /// Records that the answer ran on after `waiting_since`, when the host began to wait for the event that has come.
+    fn record_progress(&mut self, job: &Job, shared: &Shared, waiting_since: Moment) {
+        let has_waited = shared.now().since(waiting_since) >= MIN_EVENT_WAIT;
+        if has_waited && waiting_since.since(self.progress_at) >= PROGRESS_INTERVAL {
+            self.progress_at = waiting_since;
+            crashes::record_progress(shared, job, waiting_since, self.response.head_at);
+        }
+    }
+
     /// Longest silence of a segment that another one may follow; `None` if none may.
     fn silence_limit(&self, job: &Job) -> Option<Duration> {
         let may_follow = !job.is_at_most_once() || self.response.slot.copy.is_some();
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -36,6 +36,8 @@
 /// Requests with the part at the same caller, each at another host.
 const TRIES: usize = 3;
 const RETRY_MS: u64 = 100;
+/// Time between two records that an answer runs on.
+const PROGRESS_MS: u64 = 250;
 /// Time that a host holds such a request back before it sends it again.
 const HOLD_MS: u64 = 400;
 const GUILTY_FROM_MS: u64 = 6_000;
@@ -100,6 +102,16 @@
     kill_every_ms: u64,
     /// Time within which all hosts have to know.
     contact_ms: u64,
+    /// How long sound requests are answered.
+    sound_ms: (u64, u64),
+    /// How long a request with the guilty part is answered before its runner crashes.
+    crash_delay_ms: (u64, u64),
+    /// When sound requests are sent.
+    sound_from_ms: u64,
+    sound_until_ms: u64,
+    /// When some of the runners crash at once, without a cause in the requests, and their number; 0 for never.
+    crash_at_ms: u64,
+    crash_at_once: usize,
 }
 
 const SMALL: Plan = Plan {
@@ -115,6 +127,12 @@
     cut_hosts: 0,
     kill_every_ms: 0,
     contact_ms: 3_000,
+    sound_ms: (300, 2_000),
+    crash_delay_ms: (CRASH_DELAY_MS, CRASH_DELAY_MS),
+    sound_from_ms: 0,
+    sound_until_ms: END_MS,
+    crash_at_ms: 0,
+    crash_at_once: 0,
 };
 
 const MEDIUM: Plan = Plan {
@@ -232,6 +250,7 @@
             self.send_sound(now_ms);
             self.send_guilty(now_ms);
             self.finish(now_ms);
+            self.record_progress(now_ms);
             self.crash_by_chance(now_ms);
             self.kill(now_ms);
             self.look(now_ms);
@@ -275,10 +294,13 @@
         if is_guilty && is_in_touch {
             self.outcome.arrivals.push(now_ms);
         }
-        let lasts = if is_guilty {
-            CRASH_DELAY_MS
-        } else {
-            self.random.random_range(300..2_000)
+        let (shortest, longest) = match is_guilty {
+            true => self.plan.crash_delay_ms,
+            false => self.plan.sound_ms,
+        };
+        let lasts = match shortest < longest {
+            true => self.random.random_range(shortest..longest),
+            false => shortest,
         };
         self.runners[runner].push(Running {
             host,
@@ -291,6 +313,9 @@
     }
 
     fn send_sound(&mut self, now_ms: u64) {
+        if now_ms < self.plan.sound_from_ms || now_ms >= self.plan.sound_until_ms {
+            return;
+        }
         let per_step = self.plan.sound_per_s as f64 * STEP_MS as f64 / 1e3;
         let count = per_step as u64 + u64::from(self.random.random::<f64>() < per_step.fract());
         for _ in 0..count {
@@ -375,6 +400,19 @@
         }
     }
 
+    /// Answers come event by event; hosts record now and then that they run on.
+    fn record_progress(&mut self, now_ms: u64) {
+        if !now_ms.is_multiple_of(PROGRESS_MS) {
+            return;
+        }
+        for running in self.runners.iter().flatten() {
+            if now_ms >= running.began_ms + PROGRESS_MS {
+                let crashes = &mut self.crashes[running.host];
+                crashes.record_progress(at(now_ms), at(running.began_ms), &running.suspects);
+            }
+        }
+    }
+
     fn crash(&mut self, now_ms: u64, runner: usize) {
         self.back_ms[runner] = now_ms + DOWN_MS;
         for running in std::mem::take(&mut self.runners[runner]) {
@@ -398,6 +436,14 @@
             let runner = self.random.random_range(0..self.plan.runners);
             self.crash(now_ms, runner);
         }
+        if self.plan.crash_at_ms > 0 && now_ms == self.plan.crash_at_ms {
+            let busy: Vec<usize> = (0..self.plan.runners)
+                .filter(|runner| !self.runners[*runner].is_empty())
+                .collect();
+            for runner in busy.into_iter().take(self.plan.crash_at_once) {
+                self.crash(now_ms, runner);
+            }
+        }
         if self.plan.mass_crash > 0.0 && Self::is_due(now_ms, 5_000) {
             for runner in 0..self.plan.runners {
                 if self.random.random::<f64>() < self.plan.mass_crash {
@@ -420,7 +466,8 @@
     fn deliver(&mut self, now_ms: u64) {
         for (from, to, message) in std::mem::take(&mut self.in_flight) {
             let answer = self.crashes[to].receive(at(now_ms), self.hosts[from].address, &message);
-            self.dirty[to] |= !message.told.is_empty() || !message.answered.is_empty();
+            self.dirty[to] |=
+                !message.told.is_empty() || !message.answered.is_empty() || !message.running.is_empty();
             if !answer.is_empty() {
                 self.post(to, from, answer);
             }
@@ -443,7 +490,7 @@
                 continue;
             }
             self.dirty[host] = false;
-            self.blame_by_count(host);
+            self.blame_by_count(now_ms, host);
             let runners = self.plan.runners;
             for Verdict { part, tally } in self.crashes[host].advance(now, |_| runners) {
                 let record = Record::new(SERVICE, part, &format!("host-{host}"), now_ms, &tally);
@@ -469,12 +516,12 @@
     }
 
     /// The other way that was weighed: three crashes of two different requests, and no answer since.
-    fn blame_by_count(&mut self, host: usize) {
+    fn blame_by_count(&mut self, now_ms: u64, host: usize) {
         let crashes = &self.crashes[host];
         if self.plan.hosts > SMALL.hosts {
             return;
         }
-        for suspect in crashes.evidence.suspects(&crashes.answers, |_| false) {
+        for suspect in crashes.evidence.suspects(at(now_ms), &crashes.answers, |_| false) {
             let is_counted = suspect.part.scope == Scope::Part
                 && suspect.tally.crashes >= 3
                 && suspect.tally.requests >= 2;
@@ -873,12 +920,14 @@
     for n in 0..40_000 {
         let ids = [n * 3, n * 3 + 1, n * 3 + 2];
         crashes.record_answer(at(5_000 + n), &suspects(n, &ids));
+        crashes.record_progress(at(5_000 + n), at(4_000 + n), &suspects(n, &ids));
         crashes
             .evidence
             .add(at(5_000 + n), &witness(n % 900, n, &ids, 5_000 + n));
         crashes.quarantine.record_told(at(5_000 + n), part(n));
     }
     assert!(crashes.answers.len() <= 8_192 + 2_048);
+    assert!(crashes.answers.running.len() <= 4_096);
     assert!(crashes.evidence.len() <= 512);
     assert!(crashes.quarantine.len() <= 1_024);
 }
@@ -1059,3 +1108,114 @@
         finds_the_guilty_part_while_cut_hosts_are_killed as fn(u64, u8, u8, bool, u16) -> TestResult,
     );
 }
+
+/// A batch of long streams that share their first part, on most runners, while a quarter of these crash at once.
+const BATCH: Plan = Plan {
+    runners: 24,
+    sound_per_s: 65,
+    middle_parts: 3,
+    guilty_every_ms: 0,
+    sound_ms: (11_000, 13_000),
+    sound_from_ms: 5_000,
+    sound_until_ms: 9_000,
+    crash_at_ms: 10_000,
+    crash_at_once: 6,
+    ..SMALL
+};
+
+/// Plans with that batch: old and young streams, few runners, lost datagrams, hosts without peers, crashes of others.
+fn batches() -> [(&'static str, Plan); 6] {
+    let young = Plan {
+        sound_from_ms: 8_500,
+        ..BATCH
+    };
+    let few = Plan {
+        sound_per_s: 8,
+        middle_parts: 1,
+        ..BATCH
+    };
+    [
+        ("batch", BATCH),
+        ("young", young),
+        ("few", few),
+        (
+            "a third",
+            Plan {
+                crash_at_once: 8,
+                ..BATCH
+            },
+        ),
+        ("lossy", Plan { loss: 0.3, ..BATCH }),
+        (
+            "others crash",
+            Plan {
+                crash_every_ms: 2_000,
+                ..BATCH
+            },
+        ),
+    ]
+}
+
+/// Guards against a sound part that is blamed for a crash of several runners at once, while streams with it go on at others.
+#[test]
+fn a_part_whose_streams_go_on_elsewhere_is_not_blamed() {
+    for (name, plan) in batches() {
+        for seed in 0..8 {
+            for was_sound in [false, true] {
+                let mut world = World::new(plan, seed);
+                for crashes in world.crashes.iter_mut().filter(|_| was_sound) {
+                    crashes.record_answer(at(1_000), &parts(&[FIRST, MIDDLE, MIDDLE + 1, MIDDLE + 2]));
+                }
+                let outcome = world.run();
+                assert_eq!(
+                    outcome.blamed,
+                    Vec::<Suspect>::new(),
+                    "{name}, sound before: {was_sound}, seed {seed}"
+                );
+                assert_eq!(outcome.refused, 0);
+            }
+        }
+    }
+}
+
+/// Guards against the same for one prompt that many callers send at once.
+#[test]
+fn a_request_whose_streams_go_on_elsewhere_is_not_blamed() {
+    let mut crashes = lone_host();
+    for step in 0..40 {
+        let now_ms = 4_000 + 100 * step;
+        if now_ms == 6_000 {
+            for runner in 0..6 {
+                let crashed = Witness {
+                    answering: Duration::from_millis(1_000 + 100 * runner),
+                    ..witness(runner, 7, &[FIRST], now_ms)
+                };
+                crashes.record_end(at(now_ms), End::Broken, crashed);
+                crashes.record_probe(at(now_ms), runner, true);
+            }
+        }
+        // At another runner the same prompt has been answered for two seconds when these crash.
+        crashes.record_progress(at(now_ms), at(4_000), &suspects(7, &[FIRST]));
+        assert_eq!(crashes.advance(at(now_ms), |_| 24), []);
+    }
+}
+
+/// Guards against a guilty part that is spared for its own streams, which run for some seconds before each crash.
+#[test]
+fn a_guilty_part_that_crashes_runners_after_seconds_is_found() {
+    for delay in [(1_000, 1_100), (3_000, 3_100), (1_000, 3_000)] {
+        let plan = Plan {
+            crash_delay_ms: delay,
+            ..SMALL
+        };
+        check_guilty(&format!("crashes after {delay:?}"), plan, 0..8);
+    }
+}
+
+/// Guards against a guilty part that is spared, as a burst of its requests crashes several runners in one moment.
+#[test]
+fn a_guilty_part_that_comes_in_a_burst_is_found() {
+    let mut crashes = lone_host();
+    let burst = (0..4).map(|n| witness(n, n, &[FIRST + n, 50], 5_000 + n));
+    assert_eq!(found(&mut crashes, burst.collect()), [part(50)]);
+}
