Keep no values of the store that hosts do not read

Cause: a host needs the key and the version of each entry for its copy of the store, and the value only of those that it reads. It kept, copied in each round and passed on all values; bytes that are no UTF-8 took three each.

Change: values are dropped where they are read, from the store and from hosts of a former version: unreadable entries of runners, everything under prefixes that no host reads, the values of evacuated zones. Readable runners with large fields are written anew with the fields that are read, so that none is dropped. Each is logged once a version and counted. A listing keeps the values of known versions.

Why it works: memory then grows with keys, not with what others write in values.

--- a/crates/core/src/proxy/mirror.rs
+++ b/crates/core/src/proxy/mirror.rs
@@ -148,8 +148,14 @@
         self.as_of
     }
 
-    /// Adds a page of a listing; the last page completes the listing.
-    pub fn add_page(&mut self, page: Page) {
+    /// Whether a key is known with this version.
+    pub fn has_version(&self, key: &str, version: u64) -> bool {
+        self.find(key).is_some_and(|entry| entry.version == version)
+    }
+
+    /// Adds a page of a listing; the last page completes the listing. Entries that are known with the same version keep
+    /// their values.
+    pub fn add_page(&mut self, mut page: Page) {
         if page.after.is_empty() {
             self.listing = Some((page.revision, page.sent));
         }
@@ -173,6 +179,13 @@
         for key in removed_keys {
             self.record_removal(key, page.revision);
         }
+        for known in &mut self.entries[from..to] {
+            if let Ok(at) = page.entries.binary_search_by(|entry| entry.key.cmp(&known.key))
+                && page.entries[at].version == known.version
+            {
+                page.entries[at].value = std::mem::take(&mut known.value);
+            }
+        }
         self.checksum ^= checksum(&self.entries[from..to]) ^ checksum(&page.entries);
         self.entries.splice(from..to, page.entries);
         if !is_last {
@@ -200,7 +213,7 @@
         Some(Changes {
             revision: self.revision,
             age_us: now.since(as_of).as_micros() as u64,
-            items: items.map(item).collect(),
+            items: items.cloned().map(Item::from).collect(),
             removed: removals.cloned().collect(),
             full,
             checksum: self.checksum,
@@ -222,7 +235,7 @@
             self.confirm(changes.revision, as_of);
             return true;
         }
-        let items: Vec<Entry> = changes.items.into_iter().map(entry).collect();
+        let items: Vec<Entry> = changes.items.into_iter().map(Entry::from).collect();
         if changes.full {
             if checksum(&items) != changes.checksum {
                 return false;
@@ -282,18 +295,14 @@
     entries.iter().map(one).fold(0, |sum, one| sum ^ one)
 }
 
-fn entry(item: Item) -> Entry {
-    Entry {
-        key: item.key,
-        version: item.version,
-        value: item.value,
+impl From<Item> for Entry {
+    fn from(Item { key, version, value }: Item) -> Self {
+        Self { key, version, value }
     }
 }
 
-fn item(entry: &Entry) -> Item {
-    Item {
-        key: entry.key.clone(),
-        version: entry.version,
-        value: entry.value.clone(),
+impl From<Entry> for Item {
+    fn from(Entry { key, version, value }: Entry) -> Self {
+        Self { key, version, value }
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -144,6 +144,8 @@
     pub runner_crashes: Counter,
     /// Parts of prompts and requests that this host has found to crash runners.
     pub quarantines: Counter,
+    /// Runners' entries of which a value, or a part of it, was not kept.
+    pub trimmed_entries: Counter,
     /// Parts of prompts whose requests are refused.
     pub quarantined_parts: Gauge,
     /// Runners that have named a limit of the requests that they take.
@@ -203,6 +205,7 @@
             known_origins: Gauge::default(),
             runner_crashes: Counter::default(),
             quarantines: Counter::default(),
+            trimmed_entries: Counter::default(),
             quarantined_parts: Gauge::default(),
             limited_runners: Gauge::default(),
             held_off_runners: Gauge::default(),
@@ -324,6 +327,11 @@
             "Parts of prompts and requests that this host has found to crash runners",
             self.quarantines.clone(),
         );
+        registry.register(
+            "trimmed_entries",
+            "Runners' entries of which a value, or a part of it, was not kept",
+            self.trimmed_entries.clone(),
+        );
         registry.register(
             "quarantined_parts",
             "Parts of prompts whose requests are refused",
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -68,6 +68,7 @@
 pub mod stream;
 pub mod sync;
 pub mod task;
+mod trim;
 pub mod versions;
 
 /// Number of hosts assumed until the first listing, so that a host that has just started takes a
--- a/crates/entry/src/proxy/adapter.rs
+++ b/crates/entry/src/proxy/adapter.rs
@@ -160,6 +160,13 @@
     /// Names what cannot be parsed.
     fn parse_runner(&self, entry: &Entry) -> Result<Listed>;
 
+    /// The text of a runner's entry without what [`Self::parse_runner`] doesn't need; `None` if it is short as it is.
+    ///
+    /// # Errors
+    ///
+    /// Names what cannot be parsed.
+    fn shorten_runner(&self, entry: &Entry) -> Result<Option<String>>;
+
     /// HTTP request for a call to the store.
     fn store_request(&self, call: &Call) -> Request<Bytes>;
 
--- a/crates/entry/src/proxy/discovery.rs
+++ b/crates/entry/src/proxy/discovery.rs
@@ -108,7 +108,10 @@
 
     fn parse(&self, entry: &Entry) -> Parsed {
         let listed = self.shared.adapter.parse_runner(entry);
-        if let Err(err) = &listed {
+        // What could not be read before has no value any more, and is logged.
+        if let Err(err) = &listed
+            && !entry.value.is_empty()
+        {
             log_unreadable(entry, err);
         }
         Parsed {
--- a/crates/entry/src/proxy/sync.rs
+++ b/crates/entry/src/proxy/sync.rs
@@ -22,7 +22,8 @@
 use super::call::{self, PAGE_LIMIT};
 use super::client::{Client, Timeouts};
 use super::discovery::Discovery;
-use super::records::{self, COUNT_PREFIX, KEY_PREFIX, PROBE_KEY, Snapshot};
+use super::records::{self, KEY_PREFIX, PROBE_KEY, Snapshot};
+use super::trim::trim;
 use super::{Shared, changes, crashes, document, versions};
 use crate::upstream::pool::Pool;
 
@@ -298,6 +299,10 @@
         if let Some(notice) = changes.document.take() {
             document::apply_notice(&shared, sent_at, notice);
         }
+        // A host of a former version sends all values.
+        let mut entries: Vec<Entry> = changes.items.drain(..).map(Entry::from).collect();
+        trim(&shared, entries.iter_mut());
+        changes.items = entries.into_iter().map(mirror::Item::from).collect();
         Ok(self.shared.mirror().apply(sent_at, changes))
     }
 
@@ -366,9 +371,10 @@
                 limit: PAGE_LIMIT,
             };
             let response = call::send_with(&self.shared, &self.store, &call, PAGE_TIMEOUTS).await;
-            let Answer::Found(entries) = response.answer else {
+            let Answer::Found(mut entries) = response.answer else {
                 return None;
             };
+            trim(&self.shared, entries.iter_mut());
             let is_last = !response.has_more || entries.is_empty();
             all.extend(entries);
             if is_last {
@@ -417,7 +423,7 @@
                 self.listing = Some(listing);
                 return false;
             };
-            clear_counts(&mut entries);
+            self.trim_changed(&mut entries);
             let last = entries.last().filter(|_| response.has_more);
             let last = last.map(|entry| entry.key.clone());
             self.shared.mirror().add_page(mirror::Page {
@@ -442,6 +448,18 @@
         true
     }
 
+    /// Trims the entries of a page that are not known with the same version.
+    fn trim_changed(&self, entries: &mut [Entry]) {
+        let changed: Vec<bool> = {
+            let mirror = self.shared.mirror();
+            let has_changed = |entry: &Entry| !mirror.has_version(&entry.key, entry.version);
+            entries.iter().map(has_changed).collect()
+        };
+        let with_change = entries.iter_mut().zip(changed);
+        let changed = with_change.filter_map(|(entry, has_changed)| has_changed.then_some(entry));
+        trim(&self.shared, changed);
+    }
+
     /// Applies the current keys to the state; returns whether any runner has changed.
     fn apply(&mut self) -> bool {
         let keys = self.shared.adapter.store_keys();
@@ -492,16 +510,6 @@
     }
 }
 
-/// Removes the values of usage counts; for other hosts their versions suffice.
-fn clear_counts(entries: &mut [Entry]) {
-    for entry in entries
-        .iter_mut()
-        .filter(|entry| entry.key.starts_with(COUNT_PREFIX))
-    {
-        entry.value.clear();
-    }
-}
-
 /// Probes the store at intervals, unless another call was answered recently.
 pub async fn probe_store(shared: Arc<Shared>, store: Arc<Client>) {
     loop {
