Forget sealed usage windows that the store no longer has

What callers saw: nothing yet.

Cause: Reporter::load_sealed added each window that it read, and only the holder of the duty dropped old ones, as it removed them from the store. It is the slow form of the fault of large entries: memory bounded only by what others write.

Change: windows that are not in the store are forgotten, unless they are newer than all in it: those were written after it was read.

Measured: the new test fails before (13 windows instead of 12 in the second round) and passes; the schedules, usage and odd entries pass.

--- a/crates/core/src/proxy/report.rs
+++ b/crates/core/src/proxy/report.rs
@@ -88,13 +88,26 @@
 }
 
 impl Reporter {
-    /// Adds the sealed windows that were read from the store.
+    /// Applies all sealed windows in the store. Windows that it no longer has are forgotten, as the holder of the duty
+    /// has removed them; later ones than it has were written after it was read.
     pub fn load_sealed(&mut self, entries: &[Entry]) {
+        let mut stored: Vec<u64> = Vec::with_capacity(entries.len());
         for entry in entries {
             if let Some(window) = parse(entry) {
+                stored.push(window.number);
                 self.add_sealed(window, entry.version);
             }
         }
+        stored.sort_unstable();
+        if let Some(newest) = stored.last().copied() {
+            let is_stored = |number: u64| number > newest || stored.binary_search(&number).is_ok();
+            self.sealed.retain(|sealed| is_stored(sealed.window.number));
+        }
+    }
+
+    /// Number of sealed windows that are known.
+    pub fn sealed_count(&self) -> usize {
+        self.sealed.len()
     }
 
     /// Drops actions in progress after the duty is lost; keeps what was sealed or accepted.
--- a/tests/suite/proxy/schedule.rs
+++ b/tests/suite/proxy/schedule.rs
@@ -493,3 +493,23 @@
         assert!(caught.count() > 0, "{fault:?} is not detected");
     }
 }
+
+/// Guards against memory that grows with each sealed window at hosts that do not hold the duty, as only the holder removes them.
+#[test]
+fn sealed_windows_that_the_store_no_longer_has_are_forgotten() {
+    const KEPT: u64 = 12;
+    let sealed = |number: u64| Entry {
+        key: format!("radishstair/sealed/{number:012}"),
+        version: number,
+        value: format!("{{\"number\":{number},\"counts\":[[\"ana\",{number}]]}}"),
+    };
+    let mut reporter = Reporter::default();
+    for newest in KEPT..1_000 {
+        let stored: Vec<Entry> = (newest - KEPT..newest).map(sealed).collect();
+        reporter.load_sealed(&stored);
+        assert_eq!(reporter.sealed_count(), KEPT as usize);
+    }
+    // The store has not answered with any yet.
+    reporter.load_sealed(&[]);
+    assert_eq!(reporter.sealed_count(), KEPT as usize);
+}
