Bind only streams to registered versions, and keep all rows up

Cause: the service's row in the register of versions stayed in the store, was kept up only while a stream route named the service, and bound plain requests too.

Evidence: the failing live tests log no-runner with two ready runners listed.

Change: placement and the check before a send ask for a registered version only for streams. All rows are kept up, so that a stream route that comes back finds its service's versions registered.

Why it works: the register exists for streams that are taken up by hosts that have just started; no other request is taken up.

--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -115,9 +115,10 @@
         Some(self.registered[at.ok()?].1)
     }
 
-    /// The register as it should be for these services, if it is not: a version that a runner has is added, and one that
+    /// The register as it should be, if it is not, with a row for each of these services: a version that a runner has is added, and one that
     /// no runner has had for long is removed. A host may have missed the runners of a version that it finds there, and then
-    /// keeps it for as long. `is_first_start`: no stream can have begun before this host's start.
+    /// keeps it for as long. Rows are kept up whether streams begin there now or not, as routes may come back.
+    /// `is_first_start`: no stream can have begun before this host's start.
     pub fn next_register(
         &self,
         now: Moment,
@@ -126,13 +127,13 @@
         services: &[&str],
     ) -> Option<Register> {
         let mut next = self.register.clone();
+        for row in &mut next.rows {
+            self.update_row(now, row);
+        }
         for service in services {
-            match next.position(service) {
-                Ok(at) => self.update_row(now, &mut next.rows[at]),
-                Err(at) => {
-                    let row = self.new_row(now, unix_ms, is_first_start, service);
-                    next.rows.splice(at..at, row);
-                }
+            if let Err(at) = next.position(service) {
+                let row = self.new_row(now, unix_ms, is_first_start, service);
+                next.rows.splice(at..at, row);
             }
         }
         (next != self.register).then_some(next)
@@ -208,8 +209,8 @@
 }
 
 impl Runner {
-    /// Whether a stream may begin at it.
-    pub fn may_begin(&self) -> bool {
-        self.is_registered
+    /// Whether a request may begin at it: a stream may only at a version that is registered. No other request is taken up.
+    pub fn may_begin(&self, is_stream: bool) -> bool {
+        !is_stream || self.is_registered
     }
 }
--- a/crates/core/src/proxy/placement.rs
+++ b/crates/core/src/proxy/placement.rs
@@ -97,6 +97,8 @@
         pub copies_prefix: bool,
         /// Whether it may run at most once.
         pub at_most_once: bool,
+        /// Whether it is a stream, which may only begin at a registered software version.
+        pub is_stream: bool,
         /// Whether its work has been counted as demand for runners, and it was not sent since.
         pub is_counted: bool,
         /// Software version of the only runners that may run it; `None` if any may.
@@ -140,7 +142,7 @@
     fn allows(&self, now: Moment, runner: &Runner) -> bool {
         match self.version {
             Some(version) => runner.may_continue(now, version),
-            None => runner.may_begin(),
+            None => runner.may_begin(self.is_stream),
         }
     }
 
--- a/crates/entry/src/proxy/forward.rs
+++ b/crates/entry/src/proxy/forward.rs
@@ -304,7 +304,7 @@
                 false => self.with_retry_after(job, refusal),
             }));
         }
-        match self.may_use(now, slot, log.origin) {
+        match self.may_use(now, job, slot, log.origin) {
             true => Ok(()),
             false => {
                 self.log_withheld(now, job, slot);
@@ -473,11 +473,11 @@
     }
 
     /// Whether the runner still takes the request, and has the version that began the stream.
-    fn may_use(&self, now: Moment, slot: &Slot, origin: Origin) -> bool {
+    fn may_use(&self, now: Moment, job: &Job, slot: &Slot, origin: Origin) -> bool {
         let state = self.shared.state();
         let is_of_version = |runner: &Runner| match origin.version() {
             Some(version) => runner.known_version() == Some(version),
-            None => runner.may_begin(),
+            None => runner.may_begin(job.is_stream()),
         };
         state.fleet.get(slot.key).is_some_and(is_of_version)
             && state.fleet.may_send(now, slot.key, slot.placed_at)
--- a/crates/entry/src/proxy/job.rs
+++ b/crates/entry/src/proxy/job.rs
@@ -136,6 +136,7 @@
             bytes: self.body.len() as u64,
             copies_prefix: self.admission.copies_prefix,
             at_most_once: self.is_at_most_once(),
+            is_stream: self.is_stream(),
             is_counted: log.is_counted(),
             version: log.origin.version(),
             way,
--- a/tests/suite/proxy/register.rs
+++ b/tests/suite/proxy/register.rs
@@ -105,7 +105,7 @@
     list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
     let may_begin = |fleet: &Fleet, id: &str| {
         let key = fleet.find(id).expect("it is listed");
-        fleet.get(key).expect("it is listed").may_begin()
+        fleet.get(key).expect("it is listed").may_begin(true)
     };
     assert!(may_begin(&fleet, "a"));
     assert!(!may_begin(&fleet, "b"));
@@ -340,3 +340,18 @@
     fleet.read_register(at(end + 602_000), register);
     assert_eq!(only(&fleet, end + 602_000), Some(version("v2")));
 }
+
+/// Guards against plain requests that are refused for a row about streams, and against streams that are, once their route
+/// is back.
+#[test]
+fn a_row_binds_streams_only_and_is_kept_up_without_them() {
+    let (mut fleet, _) = first_host(&[("a", "v1")]);
+    list(&mut fleet, 1_000, &[("a", "v1"), ("b", "v2")]);
+    let key = fleet.find("b").expect("it is listed");
+    let may_begin = |fleet: &Fleet, is_stream| fleet.get(key).expect("it is listed").may_begin(is_stream);
+    assert!(may_begin(&fleet, false));
+    assert!(!may_begin(&fleet, true));
+    let register = fleet.next_register(at(1_000), START_MS + 1_000, true, &[]);
+    fleet.read_register(at(1_000), register.expect("a version to add"));
+    assert!(may_begin(&fleet, true));
+}
