End a quarantine when a request with its part is answered

Cause: a verdict that is wrong lasted 120 s, until its first probe. Answers to requests that were on runners when it began proved it wrong and changed nothing.

Change: a complete answer to a request with the part, or of the same content, ends the quarantine at its host. Hosts of the former software ignore the message and follow the record.

Why it works: a guilty request is never answered, which is the premise of the search and of the probe. A part that crashes only some runners is found anew.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -36,7 +36,7 @@
     ANSWER_TIME, ASK_INTERVAL, HEARING, HEARING_BY_STORE, Hearing, SOUND_BEFORE_TIME, SURVIVAL_TIME,
 };
 use message::Message;
-use quarantine::{Quarantine, Record};
+use quarantine::{Quarantine, Record, Source};
 use report::Outgoing;
 use running::Progress;
 use suspect::{MAX_PARTS, sorted_suspects};
@@ -179,7 +179,9 @@
         for Break { end, witness, .. } in of_runner {
             match (has_crashed, end) {
                 (true, _) => self.add_witness(now, witness),
-                (false, End::Unmarked) => self.record_answer(now, &witness.suspects),
+                (false, End::Unmarked) => {
+                    self.record_answer(now, &witness.suspects);
+                }
                 (false, End::Broken) => {}
             }
         }
@@ -193,14 +195,24 @@
         before - self.breaks.len()
     }
 
-    /// Records that a request with these suspects was answered completely.
-    pub fn record_answer(&mut self, now: Moment, suspects: &[Suspect]) {
+    /// Records that a request with these suspects was answered completely. Returns those that were refused until now, as
+    /// they were under quarantine.
+    pub fn record_answer(&mut self, now: Moment, suspects: &[Suspect]) -> Vec<Suspect> {
+        self.record_answer_from(now, suspects, Source::Own)
+    }
+
+    fn record_answer_from(&mut self, now: Moment, suspects: &[Suspect], source: Source) -> Vec<Suspect> {
         for suspect in suspects {
             self.answers.record(now, *suspect);
         }
         if !self.suspicions.is_empty() {
             self.suspicions.retain(|(held, _)| !suspects.contains(held));
         }
+        let quarantine = &mut self.quarantine;
+        let refuted = suspects
+            .iter()
+            .filter(|suspect| quarantine.refute(**suspect, source));
+        refuted.copied().collect()
     }
 
     /// Records that the answer to a request with these suspects, which began at `head_at`, runs on.
@@ -266,6 +278,12 @@
         self.is_collector
     }
 
+    /// Whether this host removes records of parts of which requests were answered, and tells all others. In small fleets
+    /// each host does, as collectors may be cut off.
+    pub fn removes_records(&self) -> bool {
+        self.is_collector || self.others < FEW_HOSTS
+    }
+
     /// Looks for parts that crash runners, if this host is a collector; `runners` is the number of runners of a
     /// service.
     pub fn advance(&mut self, now: Moment, runners: impl Fn(u64) -> usize) -> Vec<Verdict> {
@@ -445,6 +463,16 @@
             let found = Message::found(&found);
             messages.extend(others.iter().map(|host| (host.address, found.clone())));
         }
+        let refuted = self.quarantine.take_refuted(now, self.is_collector);
+        if !refuted.is_empty() {
+            let refuted = Message::refuted(&refuted);
+            let told = match self.removes_records() {
+                true => others.iter().map(|host| host.address).collect(),
+                false => holders::told(COLLECTORS, hosts),
+            };
+            let others = told.into_iter().filter(|host| *host != own);
+            messages.extend(others.map(|host| (host, refuted.clone())));
+        }
         messages
     }
 
@@ -459,6 +487,8 @@
         for (suspect, progress) in message.running(now) {
             self.answers.running.record(suspect, progress);
         }
+        let refuted: Vec<Suspect> = message.answered_under_quarantine().collect();
+        self.record_answer_from(now, &refuted, Source::Told);
         for part in message.quarantined() {
             self.quarantine.record_told(now, part);
         }
--- a/crates/core/src/proxy/crash/message.rs
+++ b/crates/core/src/proxy/crash/message.rs
@@ -88,6 +88,9 @@
     /// Suspects of which answers still run.
     #[prost(message, repeated, tag = "9")]
     pub running: Vec<SuspectEntry>,
+    /// Suspects under quarantine of which a request was answered meanwhile.
+    #[prost(message, repeated, tag = "10")]
+    pub refuted: Vec<SuspectEntry>,
 }
 
 impl Message {
@@ -124,6 +127,14 @@
         }
     }
 
+    /// Tells of suspects under quarantine of which a request was answered.
+    pub(super) fn refuted(parts: &[Suspect]) -> Self {
+        Self {
+            refuted: parts.iter().map(|part| entry(*part, 0)).collect(),
+            ..Self::default()
+        }
+    }
+
     /// Confirms a message, and tells when requests with the suspects in it were last answered, and which answers run.
     pub(super) fn answer(now: Moment, message: &Self, answers: &Answers, kept: Duration) -> Self {
         let answered = message.questions().filter_map(|suspect| {
@@ -211,6 +222,11 @@
         })
     }
 
+    /// Suspects under quarantine of which the sender knows an answer.
+    pub(super) fn answered_under_quarantine(&self) -> impl Iterator<Item = Suspect> + '_ {
+        self.refuted.iter().take(MAX_ENTRIES).map(suspect)
+    }
+
     /// Suspects that the sender has put under quarantine.
     pub(super) fn quarantined(&self) -> impl Iterator<Item = Suspect> + '_ {
         self.quarantined.iter().take(MAX_ENTRIES).map(suspect)
--- a/crates/core/src/proxy/crash/quarantine.rs
+++ b/crates/core/src/proxy/crash/quarantine.rs
@@ -1,7 +1,8 @@
 //! Parts of prompts whose requests are refused, and single requests that are, as they crash runners.
 //!
-//! The record stands in the platform's store. It ends when an operator removes the record. That of a part also
-//! ends when a probe is answered: a single request that one host sends after a pause. That of a request ends by
+//! The record stands in the platform's store. It ends when an operator removes the record, and when a request with the
+//! part is answered that was on a runner before: no guilty one ever is. Hosts that see such an answer no longer refuse
+//! the part, and tell the others. The record of a part also ends when a probe is answered: a single request that one host sends after a pause. That of a request ends by
 //! age instead, as a probe could only be the request itself. Hosts agree on the probe by
 //! compare-and-swap of the record, which also counts it, so that all hosts together send no more than
 //! [`MAX_PROBES`].
@@ -125,6 +126,27 @@
     told_at: Moment,
     /// Record that this host has yet to write, and when it was last announced.
     own: Option<(Record, Option<Moment>)>,
+    /// How a request with it was answered meanwhile, so that it is refused no longer.
+    refutation: Option<Refutation>,
+}
+
+/// What a host knows of an answer to a request under quarantine.
+#[derive(Clone, Copy, Debug)]
+struct Refutation {
+    source: Source,
+    /// When the other hosts were last told.
+    told_at: Option<Moment>,
+}
+
+plain! {
+    /// Who has seen an answer.
+    #[derive(Copy, Eq)]
+    pub enum Source {
+        /// This host.
+        Own,
+        /// Another host, which has told of it.
+        Told,
+    }
 }
 
 plain! {
@@ -152,7 +174,48 @@
 impl Quarantine {
     /// Whether requests with the part are refused.
     pub fn holds(&self, part: Suspect) -> bool {
-        self.position(part).is_ok()
+        self.position(part)
+            .is_ok_and(|at| self.rows[at].refutation.is_none())
+    }
+
+    /// Records that a request with the part was answered; returns whether the part was refused until now.
+    pub(super) fn refute(&mut self, part: Suspect, source: Source) -> bool {
+        let Ok(at) = self.position(part) else {
+            return false;
+        };
+        let row = &mut self.rows[at];
+        let was_held = row.refutation.is_none();
+        row.own = None;
+        row.refutation.get_or_insert(Refutation {
+            source,
+            told_at: None,
+        });
+        was_held
+    }
+
+    /// Parts of which the other hosts have to be told that a request was answered, as their records still stand in the
+    /// store; those that this host was told of only if it passes them on.
+    pub(super) fn take_refuted(&mut self, now: Moment, passes_on: bool) -> Vec<Suspect> {
+        let mut due = Vec::new();
+        for row in &mut self.rows {
+            if let Some(refutation) = &mut row.refutation
+                && (passes_on || refutation.source == Source::Own)
+                && refutation
+                    .told_at
+                    .is_none_or(|at| now.since(at) >= ANNOUNCE_INTERVAL)
+            {
+                refutation.told_at = Some(now);
+                due.push(row.part);
+            }
+        }
+        due
+    }
+
+    /// Keys and versions of the records of parts of which a request was answered.
+    pub fn refuted_records(&self) -> impl Iterator<Item = (&str, u64)> {
+        let refuted = self.rows.iter().filter(|row| row.refutation.is_some());
+        let stored = refuted.filter_map(|row| row.stored.as_ref());
+        stored.map(|stored| (stored.key.as_str(), stored.version))
     }
 
     /// Services with parts under quarantine, and when this host learnt of each.
@@ -169,6 +232,9 @@
     /// What happens to a request with a part; `None` if the part is not under quarantine.
     pub fn action(&self, part: Suspect, unix_ms: u64) -> Option<Action> {
         let row = &self.rows[self.position(part).ok()?];
+        if row.refutation.is_some() {
+            return None;
+        }
         let Some(stored) = &row.stored else {
             return Some(Action::Refuse(FIRST_PROBE_PAUSE));
         };
@@ -189,6 +255,7 @@
     pub fn record_found(&mut self, now: Moment, part: Suspect, record: Record) {
         if let Some(row) = self.row(now, part) {
             row.own = Some((record, None));
+            row.refutation = None;
         }
     }
 
@@ -209,6 +276,7 @@
                     begun_at: now,
                     told_at: now,
                     own: None,
+                    refutation: None,
                 };
                 self.rows.insert(at, row);
                 at
@@ -269,6 +337,10 @@
             }
             if let Some(row) = self.row(now, part) {
                 row.own = None;
+                let former = row.stored.as_ref();
+                if former.is_some_and(|former| former.record.found_ms != record.found_ms) {
+                    row.refutation = None;
+                }
                 row.stored = Some(Stored {
                     key: entry.key,
                     version: entry.version,
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -69,7 +69,13 @@
 /// Records that a request was answered completely.
 pub(super) fn record_answer(shared: &Shared, job: &Job) {
     let now = shared.now();
-    shared.state().crashes.record_answer(now, &job.suspects);
+    let refuted = shared.state().crashes.record_answer(now, &job.suspects);
+    for part in &refuted {
+        tracing::warn!(event = "quarantine-refuted", request = job.metadata.id, %part);
+    }
+    if !refuted.is_empty() {
+        shared.crash_pending.notify_one();
+    }
 }
 
 /// Records that the answer to a request, which began at `head_at`, ran on at `now`.
@@ -302,7 +308,11 @@
 pub(super) fn receive(shared: &Shared, from: SocketAddr, message: &Message) -> Option<Message> {
     let now = shared.now();
     let answer = shared.state().crashes.receive(now, from, message);
-    if !message.told.is_empty() || !message.answered.is_empty() || !message.running.is_empty() {
+    let has_news = !message.told.is_empty()
+        || !message.answered.is_empty()
+        || !message.running.is_empty()
+        || !message.refuted.is_empty();
+    if has_news {
         shared.crash_pending.notify_one();
     }
     (!answer.is_empty()).then_some(answer)
--- a/crates/entry/src/proxy/crashes/stored.rs
+++ b/crates/entry/src/proxy/crashes/stored.rs
@@ -35,6 +35,7 @@
         writer.shared.crash_unwritten.notified().await;
         writer.write_records().await;
         writer.write_report().await;
+        writer.remove_refuted().await;
         writer.remove_outdated().await;
         tokio::time::sleep(WRITE_INTERVAL).await;
         if writer.has_more() {
@@ -56,15 +57,28 @@
 
 impl Writer {
     fn has_more(&self) -> bool {
+        let state = self.shared.state();
+        let quarantine = &state.crashes.quarantine;
         self.waiting.is_some()
-            || self
-                .shared
-                .state()
-                .crashes
-                .quarantine
-                .unwritten()
-                .next()
-                .is_some()
+            || quarantine.unwritten().next().is_some()
+            || quarantine.refuted_records().next().is_some()
+    }
+
+    /// Removes the records of parts of which requests were answered.
+    async fn remove_refuted(&self) {
+        let refuted: Vec<Call> = {
+            let state = self.shared.state();
+            let is_removing = state.crashes.removes_records();
+            let records = state.crashes.quarantine.refuted_records();
+            let removals = records.filter(|_| is_removing).map(|(key, expect)| Call::Remove {
+                key: key.to_string(),
+                expect,
+            });
+            removals.collect()
+        };
+        for call in refuted {
+            call::send(&self.shared, &self.store, &call, WRITE_TIMEOUT).await;
+        }
     }
 
     /// Writes the records of the parts that this host has found.
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -1219,3 +1219,60 @@
     let burst = (0..4).map(|n| witness(n, n, &[FIRST + n, 50], 5_000 + n));
     assert_eq!(found(&mut crashes, burst.collect()), [part(50)]);
 }
+
+/// Guards against a quarantine that other hosts keep up, or that comes back, after one host has seen a request with its part
+/// answered.
+#[test]
+fn an_answer_ends_a_quarantine_at_all_hosts() {
+    let hosts: Vec<Host> = (0..40).map(host).collect();
+    let mut all: Vec<Crashes> = vec![Crashes::default(); hosts.len()];
+    let entry = || Entry {
+        key: "record".into(),
+        version: 3,
+        value: String::new(),
+    };
+    let record = |found_ms| Record::new(SERVICE, part(50), "host-1", found_ms, &Tally::default());
+    for (own, crashes) in hosts.iter().zip(&mut all) {
+        crashes.set_hosts(at(0), own.address, &hosts);
+        crashes.apply_records(at(5_000), vec![(part(50), entry(), record(5_000))]);
+        assert!(crashes.quarantine.holds(part(50)));
+    }
+    let first = all
+        .iter()
+        .position(|crashes| !crashes.is_collector())
+        .expect("one that collects nothing");
+    assert_eq!(
+        all[first].record_answer(at(6_000), &suspects(7, &[FIRST, 50])),
+        [part(50)]
+    );
+    assert!(!all[first].quarantine.holds(part(50)));
+    let mut datagrams = 0;
+    for step in 0..3 {
+        let now = at(6_000 + 10 * step);
+        let sent: Vec<(usize, Vec<(SocketAddr, Message)>)> = (0..hosts.len())
+            .map(|from| (from, all[from].take_messages(now, hosts[from].address, &hosts)))
+            .collect();
+        for (from, messages) in sent {
+            for (to, message) in messages {
+                datagrams += 1;
+                let to = hosts.iter().position(|host| host.address == to).expect("a host");
+                all[to].receive(now, hosts[from].address, &message);
+            }
+        }
+    }
+    assert!(all.iter().all(|crashes| !crashes.quarantine.holds(part(50))));
+    assert!(datagrams <= 6 + 6 * hosts.len(), "{datagrams} datagrams");
+    let removing = all.iter().filter(|crashes| crashes.removes_records());
+    assert!(removing.clone().count() >= 1);
+    assert!(
+        removing
+            .clone()
+            .all(|crashes| crashes.quarantine.refuted_records().eq([("record", 3)]))
+    );
+    // The same record, and then another verdict.
+    let crashes = &mut all[first];
+    crashes.apply_records(at(7_000), vec![(part(50), entry(), record(5_000))]);
+    assert!(!crashes.quarantine.holds(part(50)));
+    crashes.apply_records(at(8_000), vec![(part(50), entry(), record(7_500))]);
+    assert!(crashes.quarantine.holds(part(50)));
+}
