Count slow streams as running between their events

Found by reading the diff: an answer counted as running for 0.6 s after an event that its host had begun to wait for after the crash. Streams with an event a second, as targetGapMs allows, were thus mostly taken for ended, and a long answer did not replace a shorter one whose event had been waited for since later.

An event now shows that its answer runs when it comes, for 2 s; that the runner lived is still taken from when the host began to wait. The longer answer replaces the shorter one within 2 s.

--- a/crates/core/src/proxy/crash.rs
+++ b/crates/core/src/proxy/crash.rs
@@ -215,11 +215,12 @@
         refuted.copied().collect()
     }
 
-    /// Records that the answer to a request with these suspects, which began at `head_at`, runs on.
-    pub fn record_progress(&mut self, now: Moment, head_at: Moment, suspects: &[Suspect]) {
+    /// Records an event of the answer to a request with these suspects. The answer began at `head_at`, and the event came
+    /// after `ran_at`.
+    pub fn record_progress(&mut self, now: Moment, ran_at: Moment, head_at: Moment, suspects: &[Suspect]) {
         let progress = Progress {
-            at: now,
-            answering: now.since(head_at),
+            at: ran_at,
+            answering: ran_at.since(head_at),
             heard_at: now,
         };
         for suspect in suspects {
--- a/crates/core/src/proxy/crash/quarantine.rs
+++ b/crates/core/src/proxy/crash/quarantine.rs
@@ -2,9 +2,9 @@
 //!
 //! The record stands in the platform's store. It ends when an operator removes the record, and when a request with the
 //! part is answered that was on a runner before: no guilty one ever is. Hosts that see such an answer no longer refuse
-//! the part, and tell the others. The record of a part also ends when a probe is answered: a single request that one host sends after a pause. That of a request ends by
-//! age instead, as a probe could only be the request itself. Hosts agree on the probe by
-//! compare-and-swap of the record, which also counts it, so that all hosts together send no more than
+//! the part, and tell the others. The record of a part also ends when a probe is answered: a single request that one host
+//! sends after a pause. That of a request ends by age instead, as a probe could only be the request itself. Hosts agree on
+//! the probe by compare-and-swap of the record, which also counts it, so that all hosts together send no more than
 //! [`MAX_PROBES`].
 
 use std::time::Duration;
--- a/crates/core/src/proxy/crash/running.rs
+++ b/crates/core/src/proxy/crash/running.rs
@@ -11,9 +11,9 @@
 /// Maximum number of suspects; those that were heard longest ago are dropped first.
 const MAX_ROWS: usize = 4_096;
 /// Time after which a shorter answer replaces a longer one that was not heard since.
-const REPLACED_AFTER: Duration = Duration::from_secs(1);
+const REPLACED_AFTER: Duration = Duration::from_secs(2);
 /// Time for which an answer that was heard counts as one that runs.
-const RUNNING_LIFE: Duration = Duration::from_millis(600);
+const RUNNING_LIFE: Duration = Duration::from_secs(2);
 /// Time by which an answer has to be longer than those that broke off: the time until a crash varies a little.
 const MARGIN: Duration = Duration::from_millis(500);
 
@@ -21,7 +21,7 @@
     /// How far the answers to requests with a suspect have come.
     #[derive(Copy, Eq)]
     pub struct Progress {
-        /// When an event of the longest one came.
+        /// When the longest one was last known to run.
         pub at: Moment,
         /// Time from its head until then.
         pub answering: Duration,
@@ -48,7 +48,8 @@
                     false => known.heard_at,
                 };
                 let is_outdated = progress.at.since(known.at) >= REPLACED_AFTER;
-                if is_outdated || (progress.answering >= known.answering && progress.at.reached(known.at)) {
+                let is_recent = known.at.since(progress.at) < REPLACED_AFTER;
+                if is_outdated || (is_recent && progress.answering >= known.answering) {
                     *known = progress;
                 }
                 known.heard_at = heard_at;
--- a/crates/core/src/proxy/fleet/register.rs
+++ b/crates/core/src/proxy/fleet/register.rs
@@ -115,7 +115,8 @@
         Some(self.registered[at.ok()?].1)
     }
 
-    /// The register as it should be, if it is not, with a row for each of these services: a version that a runner has is added, and one that
+    /// The register as it should be, if it is not, with a row for each of these services: a version that a runner has is
+    /// added, and one that
     /// no runner has had for long is removed. A host may have missed the runners of a version that it finds there, and then
     /// keeps it for as long. Rows are kept up whether streams begin there now or not, as routes may come back.
     /// `is_first_start`: no stream can have begun before this host's start.
--- a/crates/entry/src/proxy/crashes.rs
+++ b/crates/entry/src/proxy/crashes.rs
@@ -78,12 +78,11 @@
     }
 }
 
-/// Records that the answer to a request, which began at `head_at`, ran on at `now`.
-pub(super) fn record_progress(shared: &Shared, job: &Job, now: Moment, head_at: Moment) {
-    shared
-        .state()
-        .crashes
-        .record_progress(now, head_at, &job.suspects);
+/// Records an event of the answer to a request. The answer began at `head_at`, and the event came after `ran_at`.
+pub(super) fn record_progress(shared: &Shared, job: &Job, ran_at: Moment, head_at: Moment) {
+    let now = shared.now();
+    let mut state = shared.state();
+    state.crashes.record_progress(now, ran_at, head_at, &job.suspects);
 }
 
 fn witness(now: Moment, job: &Job, runner: u64, head_at: Option<Moment>) -> Witness {
--- a/tests/suite/proxy/crash.rs
+++ b/tests/suite/proxy/crash.rs
@@ -408,7 +408,7 @@
         for running in self.runners.iter().flatten() {
             if now_ms >= running.began_ms + PROGRESS_MS {
                 let crashes = &mut self.crashes[running.host];
-                crashes.record_progress(at(now_ms), at(running.began_ms), &running.suspects);
+                crashes.record_progress(at(now_ms), at(now_ms), at(running.began_ms), &running.suspects);
             }
         }
     }
@@ -920,7 +920,7 @@
     for n in 0..40_000 {
         let ids = [n * 3, n * 3 + 1, n * 3 + 2];
         crashes.record_answer(at(5_000 + n), &suspects(n, &ids));
-        crashes.record_progress(at(5_000 + n), at(4_000 + n), &suspects(n, &ids));
+        crashes.record_progress(at(5_000 + n), at(5_000 + n), at(4_000 + n), &suspects(n, &ids));
         crashes
             .evidence
             .add(at(5_000 + n), &witness(n % 900, n, &ids, 5_000 + n));
@@ -1195,11 +1195,37 @@
             }
         }
         // At another runner the same prompt has been answered for two seconds when these crash.
-        crashes.record_progress(at(now_ms), at(4_000), &suspects(7, &[FIRST]));
+        crashes.record_progress(at(now_ms), at(now_ms), at(4_000), &suspects(7, &[FIRST]));
         assert_eq!(crashes.advance(at(now_ms), |_| 24), []);
     }
 }
 
+/// Guards against the same with streams whose events come a second apart.
+#[test]
+fn a_part_whose_slow_streams_go_on_elsewhere_is_not_blamed() {
+    let mut crashes = lone_host();
+    for step in 0..60 {
+        let now_ms = 4_000 + 100 * step;
+        if now_ms == 6_000 {
+            for runner in 0..6 {
+                let crashed = Witness {
+                    answering: Duration::from_millis(1_500 + 100 * runner),
+                    ..witness(runner, runner, &[FIRST, 50], now_ms)
+                };
+                crashes.record_end(at(now_ms), End::Broken, crashed);
+                crashes.record_probe(at(now_ms), runner, true);
+            }
+        }
+        // Ten streams, of which one has an event at each step; it was waited for since the one before.
+        let began_ms = 4_000 + 40 * (step % 10);
+        if now_ms >= began_ms + 2_000 {
+            let suspects = suspects(100 + step % 10, &[FIRST, 50]);
+            crashes.record_progress(at(now_ms), at(now_ms - 1_000), at(began_ms), &suspects);
+        }
+        assert_eq!(crashes.advance(at(now_ms), |_| 24), [], "at {now_ms}");
+    }
+}
+
 /// Guards against a guilty part that is spared for its own streams, which run for some seconds before each crash.
 #[test]
 fn a_guilty_part_that_crashes_runners_after_seconds_is_found() {
